--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,732 @@
+// The module's decisions, all of them. A caller makes one Balancer for each instance (New), tells it what it hears
+// (ListStart, Listed, ListEnd, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where to send a
+// command (Pick), what to do after an outcome (After), how long to wait and what to vote meanwhile (Wait).
+// The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here reads a clock,
+// starts a goroutine or knows a name; equal calls give equal answers.
+
+package policy
+
+import (
+	"encoding/binary"
+	"hash"
+	"hash/fnv"
+	"math"
+	"sort"
+)
+
+const (
+	check     = 0.25 // s between two looks at the counts and votes
+	backNats  = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
+	leastSeen = 20.0 // trial outcomes before a back vote
+	leastBad  = 3.0  // failures among them
+	settle    = 2.0  // s after a start that go uncounted
+	onWait    = 3.0  // s after the newest trial start, with leastSeen outcomes
+	onWaitFew = 5.0  // s with fewer
+	onBlind   = 9.0  // s of a stage after which a list that does not show it is no reason to wait
+	slowMark  = 1.5  // an answer is slow above this many times the earlier build's mean
+	slack     = 1.25 // a trial answer above slack times that: a build a little slower is still good
+	repeatIn  = 0.02 // s after a failed answer within which a like command is taken for its repeat
+	failFade  = 4.0  // s in which a unit's failures are forgotten to 1/e
+	failCost  = 12.0 // how much a unit that fails all looks more loaded
+	quick     = 0.1  // weight of a new sample in moving means
+	retryRate = 0.15 // further deliveries earned by a command
+	retryMost = 20.0
+	patience  = 3.0  // a delivery is waited for this many usual answer times before another may go
+	hopeful   = 0.45 // usual answer time over service target that the open limit steers for
+	coldPart  = 0.8  // part of the cold budget that is used
+	holdStep  = 0.02 // s until a held command asks again
+)
+
+type unit struct {
+	id           uint32
+	zone, cell   uint16
+	build        int
+	heft, since  float64
+	ready, known bool    // known: named by the list being read
+	before       int     // the build an earlier process or machine of this id ran
+	open         int     // own deliveries out
+	heard        float64 // last answer, or first delivery since none was out
+	fail, failAt float64 // share of failures lately, fading
+	slow         float64 // answer time over the usual
+	most         int     // most deliveries out at once: connections held
+	sent         []load  // while cold: own deliveries within the fall time
+}
+
+type load struct{ at, work float64 }
+
+// sample is what one machine did while the present build was new: MaxSPRT-AB's counts, kept by unit and build.
+type sample struct {
+	unit       uint32
+	build      int
+	n, bad     float64 // outcomes, failures
+	timed, lag float64 // answers of warm machines, slow ones among them
+}
+
+// Balancer is one instance's decisions.
+type Balancer struct {
+	t       Terms
+	seed    uint64
+	counter uint64
+	hash    hash.Hash64
+
+	units  []*unit // by id
+	byID   map[uint32]*unit
+	full   bool
+	listed bool
+
+	told     bool // the stage is known
+	build    int
+	stage    int
+	phase    Phase
+	cap      float64
+	stageAt  float64
+	samples  []*sample // in order of first outcome
+	taken    [][]float64
+	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
+	answered map[uint64]int
+
+	usual  []float64 // answer time by op type
+	plain  []float64 // the same of warm machines of the earlier build
+	lost   []float64 // when a command of the op type last ended failed
+	tokens float64
+	open   int
+	peak   int
+	limit  float64
+	ratio  float64 // answer time over service target lately
+	worth  float64 // highest importance
+
+	votedAt, callAt float64
+	standing, asked vote
+	calling         bool
+	mute            float64
+	watching        bool
+	watchAt         float64
+}
+
+type vote struct {
+	build, stage int
+	verdict      Verdict
+}
+
+func New(t Terms, seed uint64, now float64) *Balancer {
+	b := &Balancer{t: t, seed: seed, hash: fnv.New64a(), byID: map[uint32]*unit{}, answered: map[uint64]int{}}
+	b.taken, b.tried = make([][]float64, len(t.Ops)), make([][]float64, len(t.Ops))
+	b.usual, b.plain = make([]float64, len(t.Ops)), make([]float64, len(t.Ops))
+	b.lost = make([]float64, len(t.Ops))
+	for i, op := range t.Ops {
+		b.lost[i] = math.Inf(-1)
+		b.worth = max(b.worth, op.Importance)
+	}
+	b.tokens, b.limit, b.watchAt = retryMost/2, math.Inf(1), math.Inf(-1)
+	return b
+}
+
+// Pick says where to send a command, or not yet, or never. It is asked when a command comes, when a step's Again
+// is reached, and by After.
+func (b *Balancer) Pick(now float64, c *Command) Step {
+	op := &b.t.Ops[c.Op]
+	if c.Ended || c.Begun {
+		return Step{}
+	}
+	if len(c.Sent) == 0 && now <= c.Came {
+		b.take(now, c)
+	}
+	outs := 0
+	for _, d := range c.Sent {
+		if d.Out {
+			outs++
+		}
+	}
+	again, wait := min(now+holdStep, c.Due-2*b.t.Round), now < c.Due-2*b.t.Round && now-c.Came < op.Target
+	if outs > 0 && !b.t.Parallel {
+		return Step{}
+	}
+	if !b.mayRepeat(now, c) || len(c.Sent) >= b.t.Deliveries || !wait {
+		return b.end(now, c, outs)
+	}
+	if len(c.Sent) > 0 && b.tokens < 1 {
+		return b.end(now, c, outs)
+	}
+	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is nacked.
+	if len(c.Sent) == 0 && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
+		if now-c.Came+2*b.usual[c.Op] > op.Target {
+			return b.end(now, c, outs)
+		}
+		return Step{Do: Hold, Again: again}
+	}
+	u := b.choose(now, c)
+	if u == nil {
+		if outs > 0 {
+			return Step{}
+		}
+		return Step{Do: Hold, Again: again}
+	}
+	// The ordinary end: the delivery is on its way, with the time to look again if it stays silent.
+	if len(c.Sent) > 0 {
+		b.tokens--
+	}
+	if u.open == 0 {
+		u.heard = now
+	}
+	u.open++
+	u.most = max(u.most, u.open)
+	b.open++
+	b.peak = max(b.peak, b.open)
+	if b.onTrial(u.build) {
+		i := b.bucket(c.Op)
+		b.tried[i] = append(b.tried[i], now)
+	}
+	if b.ramp(now, u) < 1 {
+		u.sent = append(u.sent, load{now, b.work(c)})
+	}
+	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*b.t.Round}
+	look := now + max(patience*b.usual[c.Op], op.Target*0.4)
+	if op.Effect != AtMostOnce && b.usual[c.Op] > 0 && look < c.Came+op.Target && len(c.Sent)+1 < b.t.Deliveries {
+		if b.t.Parallel && outs == 0 {
+			s.Again = look
+		} else if !b.t.Parallel && b.tokens >= 2 {
+			s.Until = min(s.Until, look)
+		}
+	}
+	return s
+}
+
+// take notes a command that came.
+func (b *Balancer) take(now float64, c *Command) {
+	i := b.bucket(c.Op)
+	b.taken[i] = append(b.taken[i], now)
+	b.tokens = min(b.tokens+retryRate, retryMost)
+	// One caller's instant repeats are one failure, not many.
+	c.Repeat = c.Repeat || now-b.lost[c.Op] <= repeatIn
+}
+
+func (b *Balancer) bucket(op int) int {
+	if b.t.PerOp {
+		return op
+	}
+	return 0
+}
+
+func (b *Balancer) work(c *Command) float64 {
+	if c.Work > 0 {
+		return c.Work
+	}
+	return 1
+}
+
+// mayRepeat is rule 2: whether another delivery can do no harm.
+func (b *Balancer) mayRepeat(now float64, c *Command) bool {
+	op := &b.t.Ops[c.Op]
+	for _, d := range c.Sent {
+		if !d.Maybe && !d.Out || op.Effect == Redeliverable {
+			continue
+		}
+		if op.Effect == AtMostOnce || now+2*b.t.Round >= d.At+op.Window {
+			return false
+		}
+	}
+	return true
+}
+
+// end gives a command its final answer at once: a nack where a retry is harmless, else a failure. While a delivery
+// is out that may still be acked in time, there is nothing to say.
+func (b *Balancer) end(now float64, c *Command, outs int) Step {
+	if outs > 0 {
+		return Step{}
+	}
+	op := &b.t.Ops[c.Op]
+	b.lost[c.Op] = now
+	for _, d := range c.Sent {
+		if d.Maybe && (op.Effect == AtMostOnce || op.Effect == Deduplicated && op.Group != GroupAll) {
+			return Step{Do: Fail}
+		}
+	}
+	return Step{Do: Nack, Pause: min(b.t.MaxPause, op.Target)}
+}
+
+// onTrial tells whether a build is on trial for this balancer. Before any news only the oldest build is not.
+func (b *Balancer) onTrial(build int) bool {
+	if !b.told {
+		for _, u := range b.units {
+			if u.ready && u.build < build {
+				return true
+			}
+		}
+		return false
+	}
+	return build > b.build || build == b.build && b.phase != Released
+}
+
+// room is rule 5: how many more trial deliveries the window holds.
+func (b *Balancer) room(now float64, c *Command, build int) float64 {
+	capNow, stage := b.cap, b.stage
+	if !b.told || build > b.build {
+		capNow, stage = b.t.Caps[0], 0
+	}
+	if capNow <= 0 || stage < b.t.Guarded && b.t.Ops[c.Op].Effect != Redeliverable {
+		return 0
+	}
+	i := b.bucket(c.Op)
+	b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
+	b.tried[i] = after(b.tried[i], now-b.t.Window-b.t.Round)
+	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
+}
+
+func after(times []float64, from float64) []float64 {
+	return times[sort.SearchFloat64s(times, from):]
+}
+
+// choose takes the build by its share of the list and, within it, the better of two random choices.
+func (b *Balancer) choose(now float64, c *Command) *unit {
+	var trial, old []*unit
+	var trialHeft, heft float64
+	floor, bound := 0, b.t.OneWay && c.Key != 0 && (b.phase == OnTrial || b.phase == Released)
+	if bound {
+		floor = b.answered[c.Key]
+	}
+	for _, u := range b.units {
+		if !u.ready || u.build < floor || !b.sameGroup(c, u) {
+			continue
+		}
+		w := u.heft * b.ramp(now, u)
+		if b.onTrial(u.build) {
+			trialHeft += w
+			if b.room(now, c, u.build) >= 1 {
+				trial = append(trial, u)
+			}
+		} else {
+			old = append(old, u)
+			heft += w
+		}
+	}
+	// A build this balancer has voted back gets nothing more while there is another that can take the command.
+	if len(old) > 0 && (len(trial) == 0 || b.standing.verdict == VoteBack && b.standing.build == b.build ||
+		b.chance() >= trialHeft/(trialHeft+heft)) {
+		trial = nil
+	}
+	group := old
+	if trial != nil {
+		group = trial
+	}
+	if u := b.twoChoices(now, c, group); u != nil || trial == nil {
+		return u
+	}
+	return b.twoChoices(now, c, old)
+}
+
+func (b *Balancer) sameGroup(c *Command, u *unit) bool {
+	op := &b.t.Ops[c.Op]
+	for _, d := range c.Sent {
+		v := b.byID[d.Unit]
+		if v == u && !b.t.Parallel && len(b.units) > 1 && d.Maybe && len(c.Sent) == 1 {
+			return false // not where it just failed
+		}
+		if v == u && d.Out {
+			return false
+		}
+		if op.Effect == Deduplicated && (d.Out || d.Maybe) && (op.Group == GroupZone && v.zone != u.zone ||
+			op.Group == GroupCell && v.cell != u.cell) {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *Balancer) twoChoices(now float64, c *Command, group []*unit) *unit {
+	if len(group) == 0 {
+		return nil
+	}
+	var best *unit
+	var least float64
+	for try := 0; try < 4 && (try < 2 || best == nil); try++ {
+		u := group[int(b.chance()*float64(len(group)))]
+		if !b.warmEnough(now, c, u) {
+			continue
+		}
+		if cost := b.cost(now, u); best == nil || cost < least {
+			best, least = u, cost
+		}
+	}
+	return best
+}
+
+// cost is how loaded a unit looks from here: own deliveries out, how slowly it answers, how long it has been silent
+// and how often it failed lately. It answers slow, silent and fast-failing units alike, whatever the cause, and
+// forgets with time so that each is tried again.
+func (b *Balancer) cost(now float64, u *unit) float64 {
+	slow := max(u.slow, 0.2)
+	if u.slow == 0 {
+		slow = 1
+	}
+	if m := b.meanUsual(); u.open > 0 && m > 0 {
+		slow = max(slow, (now-u.heard)/(2*m))
+	}
+	return (float64(u.open) + 1) * slow * (1 + failCost*b.failing(now, u)) / (u.heft * b.ramp(now, u))
+}
+
+func (b *Balancer) failing(now float64, u *unit) float64 {
+	return u.fail * math.Exp((u.failAt-now)/failFade)
+}
+
+func (b *Balancer) meanUsual() float64 {
+	m := 0.0
+	for _, v := range b.usual {
+		m = max(m, v)
+	}
+	return m
+}
+
+// ramp is the least share of its capacity that a unit has by now, by the rule's own figures.
+func (b *Balancer) ramp(now float64, u *unit) float64 {
+	if u.since <= 0 || now-u.since >= b.t.WarmUp {
+		return 1
+	}
+	return b.t.ColdFrom + (1-b.t.ColdFrom)*max(0, now-u.since)/b.t.WarmUp
+}
+
+// warmEnough is rule 4: this balancer's part of what a cold unit may be sent, measured by what a warm unit is sent
+// from here when all are alike.
+func (b *Balancer) warmEnough(now float64, c *Command, u *unit) bool {
+	r := b.ramp(now, u)
+	if r >= 1 {
+		u.sent = nil
+		return true
+	}
+	sum := b.work(c)
+	for len(u.sent) > 0 && u.sent[0].at < now-b.t.FallTime {
+		u.sent = u.sent[1:]
+	}
+	for _, l := range u.sent {
+		sum += l.work
+	}
+	n, rate := 0, 0.0
+	for _, v := range b.units {
+		if v.ready {
+			n++
+		}
+	}
+	for i := range b.taken {
+		b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
+		rate += float64(len(b.taken[i])) / b.t.Window
+	}
+	fair := rate / float64(n) * b.t.FallTime * b.work(c)
+	return sum <= max(2*b.work(c), coldPart*b.t.FallFactor*0.5*r*fair)
+}
+
+// After says what to do with a command after one of its deliveries, sent to id, ended.
+func (b *Balancer) After(now float64, c *Command, id uint32, r Result, took float64) Step {
+	u := b.byID[id]
+	u.open--
+	b.open--
+	if r != Cancelled && r != Unsent {
+		b.judge(now, c, u, r, took)
+	}
+	if r == Acked && b.t.OneWay && c.Key != 0 {
+		b.answered[c.Key] = max(b.answered[c.Key], u.build)
+	}
+	if c.Ended {
+		return Step{Recall: true}
+	}
+	return b.Pick(now, c)
+}
+
+// judge enters an outcome into the unit's health, the usual times and MaxSPRT-AB's counts.
+func (b *Balancer) judge(now float64, c *Command, u *unit, r Result, took float64) {
+	op, mean := c.Op, func(m *float64, v float64) {
+		if *m == 0 {
+			*m = v
+		}
+		*m += quick * (v - *m)
+	}
+	bad := r == Errored || r == TimedOut || r == Broken || r == Unconnected
+	u.heard = now
+	f, v := b.failing(now, u), 0.0
+	if bad || r == Full {
+		v = 1
+	}
+	u.fail, u.failAt = f+0.25*(v-f), now
+	sent := now - took
+	same := sent >= u.since // it went to this process, not to an earlier one of the id
+	warm := same && b.ramp(sent, u) >= 1
+	if r == Acked || r == TimedOut {
+		if b.usual[op] > 0 {
+			mean(&u.slow, took/b.usual[op])
+		}
+		mean(&b.usual[op], took)
+		mean(&b.ratio, took/b.t.Ops[op].Target)
+	}
+	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
+		return
+	}
+	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
+	if r == TimedOut && !warm {
+		return
+	}
+	s := b.sampleOf(u.id, u.build)
+	s.n++
+	if bad {
+		s.bad++
+	}
+	if warm && (r == Acked || r == TimedOut) {
+		trial := u.build == b.build
+		if !trial && r == Acked {
+			mean(&b.plain[op], took)
+		}
+		if b.plain[op] > 0 {
+			mark := slowMark * b.plain[op]
+			if trial {
+				mark *= slack
+			}
+			s.timed++
+			if took > mark {
+				s.lag++
+			}
+		}
+	}
+}
+
+func (b *Balancer) sampleOf(id uint32, build int) *sample {
+	for _, s := range b.samples {
+		if s.unit == id && s.build == build {
+			return s
+		}
+	}
+	s := &sample{unit: id, build: build}
+	b.samples = append(b.samples, s)
+	return s
+}
+
+// Flagged enters a wrong answer that a client found, sent age ago.
+func (b *Balancer) Flagged(now float64, id uint32, age float64) {
+	u := b.byID[id]
+	if u == nil {
+		return
+	}
+	build := u.build
+	if now-age < u.since {
+		build = u.before
+	}
+	if s := b.sampleOf(id, build); s.n > s.bad {
+		s.bad++
+	}
+}
+
+// nats is MaxSPRT-AB's L, signed: positive where the trial build fails more often.
+func nats(nA, xA, nB, xB float64) float64 {
+	if nA == 0 || nB == 0 {
+		return 0
+	}
+	ll := func(n, x float64) float64 {
+		if x <= 0 || x >= n {
+			return 0
+		}
+		return x*math.Log(x/n) + (n-x)*math.Log(1-x/n)
+	}
+	l := ll(nA, xA) + ll(nB, xB) - ll(nA+nB, xA+xB)
+	if xB/nB < xA/nA {
+		return -l
+	}
+	return l
+}
+
+// excess is L over both builds' samples. A build is bad on all its machines: the worst machine of a side, where the
+// side has others, is left out, so that one failing, slow or silent unit is not taken for the build. For slowness,
+// which neighbours and queues cause on several machines, the worse half is left out.
+func (b *Balancer) excess(slow bool) float64 {
+	var side [2][]*sample
+	for _, s := range b.samples {
+		if s.build == b.build {
+			side[1] = append(side[1], s)
+		} else if s.build < b.build {
+			side[0] = append(side[0], s)
+		}
+	}
+	get := func(s *sample) (float64, float64) {
+		if slow {
+			return s.timed, s.lag
+		}
+		return s.n, s.bad
+	}
+	var n, x [2]float64
+	for i, list := range side {
+		sort.SliceStable(list, func(j, k int) bool {
+			nj, xj := get(list[j])
+			nk, xk := get(list[k])
+			return xj*max(nk, 1) > xk*max(nj, 1)
+		})
+		skip := 0
+		if len(list) > 1 {
+			skip = 1
+			if slow && i == 1 {
+				skip = len(list) / 2
+			}
+		}
+		for _, s := range list[skip:] {
+			m, y := get(s)
+			n[i], x[i] = n[i]+m, x[i]+y
+		}
+	}
+	if n[1] < leastSeen || x[1] < leastBad {
+		return 0
+	}
+	return nats(n[0], x[0], n[1], x[1])
+}
+
+// Stage is news of the newest build.
+func (b *Balancer) Stage(now float64, build, stage int, phase Phase, limit, age float64) {
+	if !b.told || build != b.build {
+		b.samples = nil
+	}
+	if phase == GoingBack || phase == Withdrawn {
+		clear(b.answered)
+	}
+	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
+}
+
+// VoteAnswered is what became of the vote last cast.
+func (b *Balancer) VoteAnswered(now float64, r VoteReply) {
+	if !b.calling {
+		return
+	}
+	b.calling = false
+	switch r {
+	case Counted:
+		b.standing, b.votedAt = b.asked, b.callAt
+	case Moot:
+		b.mute = now + 2*check
+	default:
+		b.mute = now + check
+	}
+}
+
+// verdict is the vote that the counts call for.
+func (b *Balancer) verdict(now float64) Verdict {
+	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
+		return VoteNone
+	}
+	l := max(b.excess(false), b.excess(true))
+	line := backNats + math.Log(float64(b.t.Balancers))
+	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
+	switch {
+	case l >= line || kept && (!b.t.Automatic || l > line/2):
+		return VoteBack
+	case b.phase == Released:
+		return VoteNone
+	case b.t.Automatic && l > line/2:
+		return VoteHold
+	case b.t.Automatic:
+		return VoteNone
+	}
+	var newest, n, seen, places float64
+	for _, u := range b.units {
+		if u.ready && u.build == b.build {
+			n++
+			newest = max(newest, u.since)
+		}
+		if u.ready && (u.build < b.build || b.t.Replace && u.build == b.build) {
+			places++
+		}
+	}
+	for _, s := range b.samples {
+		if s.build == b.build {
+			seen += s.n
+		}
+	}
+	if n < math.Floor(places*b.t.Stages[b.stage]+0.5) && now-b.stageAt < onBlind || n == 0 {
+		return VoteNone
+	}
+	wait := onWaitFew
+	if seen >= leastSeen {
+		wait = onWait
+	}
+	if now-max(newest, b.stageAt) < wait {
+		return VoteNone
+	}
+	return VoteOn
+}
+
+// Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this balancer's vote.
+func (b *Balancer) Wait(now float64) Turn {
+	t := Turn{In: check}
+	b.steer()
+	if b.t.Ask && !b.watching && now-b.watchAt >= 1 {
+		t.Subscribe, b.watchAt = true, now
+	}
+	if b.calling && now-b.callAt > b.t.VoteTimeout+4*check {
+		b.calling = false
+	}
+	want := vote{b.build, b.stage, b.verdict(now)}
+	if want.verdict == VoteBack {
+		want.stage = 0
+	}
+	stands := b.standing.verdict != VoteNone && now-b.votedAt < b.t.VoteLife
+	fresh := stands && now-b.votedAt < b.t.VoteLife/2
+	if want.verdict == VoteNone && (!stands || b.standing.build != b.build || b.standing.verdict == VoteOn) ||
+		want == b.standing && fresh || b.calling || now < b.mute {
+		return t
+	}
+	if now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
+		return t
+	}
+	b.asked, b.callAt, b.calling = want, now, true
+	t.Vote, t.Build, t.Stage, t.Verdict = true, b.build, b.stage, want.verdict
+	return t
+}
+
+// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets alike.
+func (b *Balancer) steer() {
+	switch {
+	case b.ratio > hopeful:
+		b.limit = max(2, min(b.limit, float64(b.peak))*0.9)
+	case float64(b.peak) > 0.7*b.limit:
+		b.limit += 1 + 0.05*b.limit
+	}
+	b.peak = b.open
+}
+
+// ListStart begins a list; full names every unit there is, else only changes follow.
+func (b *Balancer) ListStart(full bool) {
+	b.full, b.watching = full, true
+	for _, u := range b.units {
+		u.known = !full
+	}
+}
+
+// Listed is one entry.
+func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
+	u := b.byID[id]
+	if u == nil {
+		u = &unit{id: id, before: build, build: build, since: since}
+		b.byID[id] = u
+		b.units = append(b.units, u)
+		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
+	}
+	if since != u.since || build != u.build {
+		u.before, u.fail, u.slow, u.sent = u.build, 0, 0, nil
+	}
+	if heft <= 0 {
+		heft = 1
+	}
+	u.zone, u.cell, u.build, u.heft, u.since = zone, cell, build, heft, since
+	u.ready, u.known = state == Ready, true
+}
+
+// ListEnd closes a list: what a full one does not name is gone.
+func (b *Balancer) ListEnd(now float64) {
+	for _, u := range b.units {
+		u.ready = u.ready && u.known
+	}
+}
+
+// ListFailed: a call for the list failed; it is asked again from Wait.
+func (b *Balancer) ListFailed() { b.watching = false }
+
+func (b *Balancer) chance() float64 {
+	var buf [16]byte
+	b.counter++
+	binary.LittleEndian.PutUint64(buf[:], b.counter)
+	binary.LittleEndian.PutUint64(buf[8:], b.seed)
+	b.hash.Reset()
+	b.hash.Write(buf[:])
+	return float64(b.hash.Sum64()>>11) / (1 << 53)
+}
--- /dev/null
+++ b/wire/terms.go
@@ -0,0 +1,115 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"flintspread/policy"
+)
+
+// reader looks settings up and remembers the first that is missing or malformed.
+type reader struct {
+	pairs map[string]string
+	err   error
+}
+
+func (r *reader) text(key string) string {
+	v, ok := r.pairs[key]
+	if !ok && r.err == nil {
+		r.err = fmt.Errorf("setting %s is missing", key)
+	}
+	return v
+}
+
+func (r *reader) num(key string) float64 {
+	s := r.text(key)
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil && r.err == nil {
+		r.err = fmt.Errorf("setting %s is no number: %q", key, s)
+	}
+	return v
+}
+
+func (r *reader) secs(key string) float64 { return r.num(key) / 1000 }
+
+func (r *reader) flag(key string) bool { return r.word(key, "false", "true") == 1 }
+
+// word gives the place of a setting among the words it may be.
+func (r *reader) word(key string, words ...string) int {
+	s := r.text(key)
+	for i, w := range words {
+		if s == w {
+			return i
+		}
+	}
+	if r.err == nil {
+		r.err = fmt.Errorf("setting %s is none of %s: %q", key, strings.Join(words, ", "), s)
+	}
+	return 0
+}
+
+func (r *reader) nums(key string) (list []float64) {
+	for _, s := range strings.Split(r.text(key), ",") {
+		v, err := strconv.ParseFloat(s, 64)
+		if err != nil && r.err == nil {
+			r.err = fmt.Errorf("setting %s is no list of numbers: %q", key, s)
+		}
+		list = append(list, v)
+	}
+	return list
+}
+
+// decodeTerms reads the settings text, path=value a line; unknown keys are skipped. Times become seconds.
+func decodeTerms(text string) (policy.Terms, error) {
+	r := &reader{pairs: map[string]string{}}
+	for _, line := range strings.Split(text, "\n") {
+		if key, value, ok := strings.Cut(line, "="); ok {
+			r.pairs[key] = strings.TrimSuffix(value, "\r")
+		}
+	}
+	const fam = "family_info."
+	t := policy.Terms{
+		Balancers:   int(r.num("balancers")),
+		Round:       r.secs("round"),
+		Ask:         r.word("discovery", "push", "ask") == 1,
+		Parallel:    r.flag("policy_limits.parallel_tries"),
+		Cancel:      r.flag("policy_limits.may_cancel"),
+		MaxPause:    r.secs("policy_limits.max_retry_after"),
+		Deliveries:  int(r.num("policy_limits.send_cap")),
+		Grace:       r.secs("rules.stop_sending_within"),
+		ColdFrom:    r.num("rules.cold_from"),
+		WarmUp:      r.secs("rules.warm_up"),
+		FallFactor:  r.num("rules.fall_multiple"),
+		FallTime:    r.secs("rules.fall"),
+		Window:      r.secs(fam + "window"),
+		Free:        r.num(fam + "spare_tries"),
+		Caps:        r.nums(fam + "exposure_caps"),
+		Stages:      r.nums(fam + "waves"),
+		PerOp:       r.word(fam+"counts", "all", "each_class") == 1,
+		Guarded:     int(r.num(fam + "shielded")),
+		OneWay:      r.flag(fam + "forward_only"),
+		Automatic:   r.word(fam+"gate_mode", "first_voice", "by_count", "automatic") == 2,
+		Replace:     r.word(fam+"replace_mode", "parallel", "replace") == 1,
+		StageTime:   r.secs(fam + "auto_after"),
+		VoteLife:    r.secs(fam + "vote_life"),
+		VoteTimeout: r.secs(fam + "api_timeout"),
+		VoteRate:    r.num(fam + "votes_per_s"),
+	}
+	n := int(r.num("classes.count"))
+	for i := 0; i < n && r.err == nil; i++ {
+		p := fmt.Sprintf("classes.%d.", i)
+		t.Ops = append(t.Ops, policy.OpType{
+			Target:     r.secs(p + "aim"),
+			Importance: r.num(p + "value"),
+			Late:       r.num(p + "late_value"),
+			Effect:     policy.Effect(r.word(p+"semantics", "safe", "keyed", "unsafe")),
+			Group:      policy.Group(r.word(p+"group", "all", "zone", "cell")),
+			Window:     r.secs(p + "key_ttl"),
+		})
+	}
+	if r.err == nil && len(t.Caps) != len(t.Stages) {
+		r.err = fmt.Errorf("settings %sexposure_caps and %swaves differ in length", fam, fam)
+	}
+	return t, r.err
+}
