--- a/policy/policy.go
+++ b/policy/policy.go
@@ -94,6 +94,7 @@
 	limit  float64
 	ratio  float64 // answer time over service target lately
 	worth  float64 // highest importance
+	hint   float64 // usual work told
 
 	votedAt, callAt float64
 	standing, asked vote
@@ -138,8 +139,8 @@
 		}
 	}
 	again, wait := min(now+holdStep, c.Due-2*b.t.Round), now < c.Due-2*b.t.Round && now-c.Came < op.Target
-	if outs > 0 && !b.t.Parallel {
-		return Step{}
+	if outs > 0 && !b.silent(now, c) {
+		return Step{Again: now + b.patience(c)}
 	}
 	if !b.mayRepeat(now, c) || len(c.Sent) >= b.t.Deliveries || !wait {
 		return b.end(now, c, outs)
@@ -147,6 +148,9 @@
 	if len(c.Sent) > 0 && b.tokens < 1 {
 		return b.end(now, c, outs)
 	}
+	if outs > 0 && !b.t.Parallel {
+		return Step{Recall: b.t.Cancel}
+	}
 	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is nacked.
 	if len(c.Sent) == 0 && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
 		if now-c.Came+2*b.usual[c.Op] > op.Target {
@@ -180,22 +184,39 @@
 		u.sent = append(u.sent, load{now, b.work(c)})
 	}
 	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*b.t.Round}
-	look := now + max(patience*b.usual[c.Op], op.Target*0.4)
-	if op.Effect != AtMostOnce && b.usual[c.Op] > 0 && look < c.Came+op.Target && len(c.Sent)+1 < b.t.Deliveries {
-		if b.t.Parallel && outs == 0 {
-			s.Again = look
-		} else if !b.t.Parallel && b.tokens >= 2 {
-			s.Until = min(s.Until, look)
-		}
+	if look := now + b.patience(c); op.Effect != AtMostOnce && look < c.Came+op.Target {
+		s.Again = look
 	}
 	return s
 }
 
+// patience is how long a delivery is left alone: some usual answer times, by the work it is said to need.
+func (b *Balancer) patience(c *Command) float64 {
+	if b.usual[c.Op] == 0 {
+		return math.Inf(1)
+	}
+	return patience * b.usual[c.Op] * max(1, b.work(c))
+}
+
+// silent tells whether what is out has met a unit that has answered nothing since: a silent, stuck or far slower
+// unit, not a command that takes long.
+func (b *Balancer) silent(now float64, c *Command) bool {
+	for _, d := range c.Sent {
+		if u := b.byID[d.Unit]; d.Out && (u.heard > d.At || now < d.At+b.patience(c)-1e-6) {
+			return false
+		}
+	}
+	return true
+}
+
 // take notes a command that came.
 func (b *Balancer) take(now float64, c *Command) {
 	i := b.bucket(c.Op)
 	b.taken[i] = append(b.taken[i], now)
 	b.tokens = min(b.tokens+retryRate, retryMost)
+	if c.Work > 0 {
+		mean(&b.hint, c.Work)
+	}
 	// One caller's instant repeats are one failure, not many.
 	c.Repeat = c.Repeat || now-b.lost[c.Op] <= repeatIn
 }
@@ -207,9 +228,10 @@
 	return 0
 }
 
+// work is what a command is said to need, the usual command's being 1.
 func (b *Balancer) work(c *Command) float64 {
-	if c.Work > 0 {
-		return c.Work
+	if c.Work > 0 && b.hint > 0 {
+		return c.Work / b.hint
 	}
 	return 1
 }
@@ -418,25 +440,31 @@
 	u := b.byID[id]
 	u.open--
 	b.open--
-	if r != Cancelled && r != Unsent {
+	if r != Unsent && (r != Cancelled || !c.Ended) {
 		b.judge(now, c, u, r, took)
 	}
 	if r == Acked && b.t.OneWay && c.Key != 0 {
 		b.answered[c.Key] = max(b.answered[c.Key], u.build)
 	}
 	if c.Ended {
-		return Step{Recall: true}
+		return Step{Recall: b.t.Cancel}
 	}
 	return b.Pick(now, c)
 }
 
+// mean moves m towards v.
+func mean(m *float64, v float64) {
+	if *m == 0 {
+		*m = v
+	}
+	*m += quick * (v - *m)
+}
+
 // judge enters an outcome into the unit's health, the usual times and MaxSPRT-AB's counts.
 func (b *Balancer) judge(now float64, c *Command, u *unit, r Result, took float64) {
-	op, mean := c.Op, func(m *float64, v float64) {
-		if *m == 0 {
-			*m = v
-		}
-		*m += quick * (v - *m)
+	op := c.Op
+	if r == Cancelled && !c.Ended {
+		r = TimedOut // called off for its unit's silence
 	}
 	bad := r == Errored || r == TimedOut || r == Broken || r == Unconnected
 	u.heard = now
--- a/wire/host.go
+++ b/wire/host.go
@@ -68,7 +68,6 @@
 	id       uint32
 	b        *policy.Balancer
 	ops      int
-	cancel   bool
 	cmds     map[uint32]*policy.Command
 	dues     dues
 	seq      uint64
@@ -190,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	x := &instance{id: id, b: policy.New(terms, rec.u64(5), h.now), ops: len(terms.Ops), cancel: terms.Cancel,
+	x := &instance{id: id, b: policy.New(terms, rec.u64(5), h.now), ops: len(terms.Ops),
 		cmds: map[uint32]*policy.Command{}}
 	h.instances[id] = x
 	h.turn(x)
@@ -339,11 +338,11 @@
 		h.out.add(lose, x.id).put32(5, c.ID)
 		c.Ended = true
 	}
-	if s.Again > 0 {
+	if s.Again > 0 && s.Again < c.Due && !c.Ended {
 		x.seq++
 		heap.Push(&x.dues, due{s.Again, x.seq, c})
 	}
-	if s.Recall && x.cancel {
+	if s.Recall {
 		for i, d := range c.Sent {
 			if d.Out {
 				a := h.out.add(recall, x.id)
