--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,7 +24,7 @@
 	onWaitFew = 5.0  // s with fewer
 	onBlind   = 9.0  // s of a stage after which a list that does not show it is no reason to wait
 	slowMark  = 1.5  // an answer is slow above this many times the earlier build's mean
-	slack     = 1.25 // a trial answer above slack times that: a build a little slower is still good
+	slack     = 1.5  // a trial answer above slack times that: a build a little slower is still good
 	repeatIn  = 0.02 // s after a failed answer within which a like command is taken for its repeat
 	failFade  = 4.0  // s in which a unit's failures are forgotten to 1/e
 	failCost  = 12.0 // how much a unit that fails all looks more loaded
@@ -59,6 +59,7 @@
 	unit       uint32
 	build      int
 	n, bad     float64 // outcomes, failures
+	late       float64 // time-outs among the failures
 	timed, lag float64 // answers of warm machines, slow ones among them
 }
 
@@ -495,6 +496,9 @@
 	if bad {
 		s.bad++
 	}
+	if r == TimedOut {
+		s.late++
+	}
 	if warm && (r == Acked || r == TimedOut) {
 		trial := u.build == b.build
 		if !trial && r == Acked {
@@ -559,7 +563,8 @@
 
 // excess is L over both builds' samples. A build is bad on all its machines: the worst machine of a side, where the
 // side has others, is left out, so that one failing, slow or silent unit is not taken for the build. For slowness,
-// which neighbours and queues cause on several machines, the worse half is left out.
+// which neighbours and queues cause on several machines, the worse half is left out. A lone trial machine's lateness
+// is no proof at all (it may be the machine, or what queued while it was cold): the next stage has more of them.
 func (b *Balancer) excess(slow bool) float64 {
 	var side [2][]*sample
 	for _, s := range b.samples {
@@ -569,10 +574,17 @@
 			side[0] = append(side[0], s)
 		}
 	}
+	lone := len(side[1]) == 1
+	if lone && slow {
+		return 0
+	}
 	get := func(s *sample) (float64, float64) {
 		if slow {
 			return s.timed, s.lag
 		}
+		if lone && s.build == b.build {
+			return s.n - s.late, s.bad - s.late
+		}
 		return s.n, s.bad
 	}
 	var n, x [2]float64
