--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,27 +589,48 @@
 	}
 	var n, x [2]float64
 	for i, list := range side {
-		sort.SliceStable(list, func(j, k int) bool {
-			nj, xj := get(list[j])
-			nk, xk := get(list[k])
-			return xj*max(nk, 1) > xk*max(nj, 1)
-		})
-		skip := 0
-		if len(list) > 1 {
-			skip = 1
-			if slow && i == 1 {
-				skip = len(list) / 2
-			}
-		}
-		for _, s := range list[skip:] {
+		for _, s := range list {
 			m, y := get(s)
 			n[i], x[i] = n[i]+m, x[i]+y
 		}
 	}
+	spread := b.spread(side[0], get, n[0], x[0])
+	for i, list := range side {
+		over := func(s *sample) float64 {
+			m, y := get(s)
+			return y - m*x[0]/max(1, n[0])
+		}
+		sort.SliceStable(list, func(j, k int) bool { return over(list[j]) > over(list[k]) })
+		skip := min(1, len(list)/2)
+		if slow && i == 1 {
+			skip = len(list) / 2
+		}
+		for _, s := range list[:skip] {
+			m, y := get(s)
+			n[i], x[i] = n[i]-m, x[i]-y
+		}
+	}
 	if n[1] < leastSeen || x[1] < leastBad {
 		return 0
 	}
-	return nats(n[0], x[0], n[1], x[1])
+	return nats(n[0], x[0], n[1], x[1]) / spread
+}
+
+// spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
+// machines differ among themselves, against what chance alone gives (a median of 0.455 for 2L). Queues, bursts and
+// machines of unlike speed make failures come in clumps; a few failing machines don't move the median.
+func (b *Balancer) spread(list []*sample, get func(*sample) (float64, float64), n, x float64) float64 {
+	var twice []float64
+	for _, s := range list {
+		if m, y := get(s); m >= leastSeen {
+			twice = append(twice, 2*math.Abs(nats(n-m, x-y, m, y)))
+		}
+	}
+	if len(twice) == 0 {
+		return 1
+	}
+	sort.Float64s(twice)
+	return max(1, twice[len(twice)/2]/0.455)
 }
 
 // Stage is news of the newest build.
