--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	onBlind   = 9.0  // s of a stage after which a list that does not show it is no reason to wait
 	slowMark  = 1.5  // an answer is slow above this many times the earlier build's mean
 	slack     = 1.5  // a trial answer above slack times that: a build a little slower is still good
+	lagFade   = 0.97 // what is kept of the slow answers' counts at each check: load changes with time
 	repeatIn  = 0.02 // s after a failed answer within which a like command is taken for its repeat
 	failFade  = 4.0  // s in which a unit's failures are forgotten to 1/e
 	failCost  = 12.0 // how much a unit that fails all looks more loaded
@@ -73,7 +74,7 @@
 	units  []*unit // by id
 	byID   map[uint32]*unit
 	full   bool
-	listed bool
+	paired bool // machines of both builds run side by side
 
 	told     bool // the stage is known
 	build    int
@@ -488,7 +489,8 @@
 		return
 	}
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
-	if r == TimedOut && !warm {
+	// Nor does lateness once the earlier machines are gone: a burst or a slow fleet then meets one build only.
+	if r == TimedOut && !(warm && b.paired) {
 		return
 	}
 	s := b.sampleOf(u.id, u.build)
@@ -499,7 +501,7 @@
 	if r == TimedOut {
 		s.late++
 	}
-	if warm && (r == Acked || r == TimedOut) {
+	if warm && b.paired && (r == Acked || r == TimedOut) {
 		trial := u.build == b.build
 		if !trial && r == Acked {
 			mean(&b.plain[op], took)
@@ -710,6 +712,9 @@
 func (b *Balancer) Wait(now float64) Turn {
 	t := Turn{In: check}
 	b.steer()
+	for _, s := range b.samples {
+		s.timed, s.lag = s.timed*lagFade, s.lag*lagFade
+	}
 	if b.t.Ask && !b.watching && now-b.watchAt >= 1 {
 		t.Subscribe, b.watchAt = true, now
 	}
@@ -774,9 +779,14 @@
 
 // ListEnd closes a list: what a full one does not name is gone.
 func (b *Balancer) ListEnd(now float64) {
+	b.paired = false
+	old := false
 	for _, u := range b.units {
 		u.ready = u.ready && u.known
+		b.paired = b.paired || u.ready && u.build == b.build
+		old = old || u.ready && u.build < b.build
 	}
+	b.paired = b.paired && old
 }
 
 // ListFailed: a call for the list failed; it is asked again from Wait.
