--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,8 +7,6 @@
 package policy
 
 import (
-	"encoding/binary"
-	"hash"
 	"hash/fnv"
 	"math"
 	"sort"
@@ -38,86 +36,21 @@
 	holdStep  = 0.02 // s until a held command asks again
 )
 
-type unit struct {
-	id           uint32
-	zone, cell   uint16
-	build        int
-	heft, since  float64
-	ready, known bool    // known: named by the list being read
-	before       int     // the build an earlier process or machine of this id ran
-	open         int     // own deliveries out
-	heard        float64 // last answer, or first delivery since none was out
-	fail, failAt float64 // share of failures lately, fading
-	slow         float64 // answer time over the usual
-	most         int     // most deliveries out at once: connections held
-	sent         []load  // while cold: own deliveries within the fall time
-}
-
-type load struct{ at, work float64 }
-
-// sample is what one machine did while the present build was new: MaxSPRT-AB's counts, kept by unit and build.
-type sample struct {
-	unit       uint32
-	build      int
-	n, bad     float64 // outcomes, failures
-	late       float64 // time-outs among the failures
-	timed, lag float64 // answers of warm machines, slow ones among them
-}
-
-// Balancer is one instance's decisions.
-type Balancer struct {
-	t       Terms
-	seed    uint64
-	counter uint64
-	hash    hash.Hash64
-
-	units  []*unit // by id
-	byID   map[uint32]*unit
-	full   bool
-	paired bool // machines of both builds run side by side
-
-	told     bool // the stage is known
-	build    int
-	stage    int
-	phase    Phase
-	cap      float64
-	stageAt  float64
-	samples  []*sample // in order of first outcome
-	taken    [][]float64
-	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
-	answered map[uint64]int
-
-	usual  []float64 // answer time by op type
-	plain  []float64 // the same of warm machines of the earlier build
-	lost   []float64 // when a command of the op type last ended failed
-	tokens float64
-	open   int
-	peak   int
-	limit  float64
-	ratio  float64 // answer time over service target lately
-	worth  float64 // highest importance
-	hint   float64 // usual work told
-
-	votedAt, callAt float64
-	standing, asked vote
-	calling         bool
-	mute            float64
-	watching        bool
-	watchAt         float64
-}
-
-type vote struct {
-	build, stage int
-	verdict      Verdict
-}
+// The kinds of failure that are counted apart, each against outcomes of its own.
+const (
+	wrong = iota // errors, resets, failed connections, flagged answers
+	lost         // these and time-outs
+	slow         // answers of warm machines that took far longer than usual
+	kinds
+)
 
 func New(t Terms, seed uint64, now float64) *Balancer {
 	b := &Balancer{t: t, seed: seed, hash: fnv.New64a(), byID: map[uint32]*unit{}, answered: map[uint64]int{}}
 	b.taken, b.tried = make([][]float64, len(t.Ops)), make([][]float64, len(t.Ops))
 	b.usual, b.plain = make([]float64, len(t.Ops)), make([]float64, len(t.Ops))
-	b.lost = make([]float64, len(t.Ops))
+	b.missed = make([]float64, len(t.Ops))
 	for i, op := range t.Ops {
-		b.lost[i] = math.Inf(-1)
+		b.missed[i] = math.Inf(-1)
 		b.worth = max(b.worth, op.Importance)
 	}
 	b.tokens, b.limit, b.watchAt = retryMost/2, math.Inf(1), math.Inf(-1)
@@ -140,35 +73,32 @@
 			outs++
 		}
 	}
-	again, wait := min(now+holdStep, c.Due-2*b.t.Round), now < c.Due-2*b.t.Round && now-c.Came < op.Target
 	if outs > 0 && !b.silent(now, c) {
 		return Step{Again: now + b.patience(c)}
 	}
-	if !b.mayRepeat(now, c) || len(c.Sent) >= b.t.Deliveries || !wait {
-		return b.end(now, c, outs)
-	}
-	if len(c.Sent) > 0 && b.tokens < 1 {
+	further := len(c.Sent) > 0
+	if now >= c.Due-2*b.t.Round || now-c.Came >= op.Target || !b.mayRepeat(now, c) || further && b.tokens < 1 {
 		return b.end(now, c, outs)
 	}
 	if outs > 0 && !b.t.Parallel {
 		return Step{Recall: b.t.Cancel}
 	}
+	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
 	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is nacked.
-	if len(c.Sent) == 0 && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
+	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
 		if now-c.Came+2*b.usual[c.Op] > op.Target {
 			return b.end(now, c, outs)
 		}
-		return Step{Do: Hold, Again: again}
+		return hold
 	}
 	u := b.choose(now, c)
-	if u == nil {
-		if outs > 0 {
-			return Step{}
-		}
-		return Step{Do: Hold, Again: again}
+	if u == nil && outs > 0 {
+		return Step{}
+	} else if u == nil {
+		return hold
 	}
 	// The ordinary end: the delivery is on its way, with the time to look again if it stays silent.
-	if len(c.Sent) > 0 {
+	if further {
 		b.tokens--
 	}
 	if u.open == 0 {
@@ -220,14 +150,7 @@
 		mean(&b.hint, c.Work)
 	}
 	// One caller's instant repeats are one failure, not many.
-	c.Repeat = c.Repeat || now-b.lost[c.Op] <= repeatIn
-}
-
-func (b *Balancer) bucket(op int) int {
-	if b.t.PerOp {
-		return op
-	}
-	return 0
+	c.Repeat = c.Repeat || now-b.missed[c.Op] <= repeatIn
 }
 
 // work is what a command is said to need, the usual command's being 1.
@@ -241,6 +164,9 @@
 // mayRepeat is rule 2: whether another delivery can do no harm.
 func (b *Balancer) mayRepeat(now float64, c *Command) bool {
 	op := &b.t.Ops[c.Op]
+	if len(c.Sent) >= b.t.Deliveries {
+		return false
+	}
 	for _, d := range c.Sent {
 		if !d.Maybe && !d.Out || op.Effect == Redeliverable {
 			continue
@@ -259,7 +185,7 @@
 		return Step{}
 	}
 	op := &b.t.Ops[c.Op]
-	b.lost[c.Op] = now
+	b.missed[c.Op] = now
 	for _, d := range c.Sent {
 		if d.Maybe && (op.Effect == AtMostOnce || op.Effect == Deduplicated && op.Group != GroupAll) {
 			return Step{Do: Fail}
@@ -296,16 +222,12 @@
 	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
-func after(times []float64, from float64) []float64 {
-	return times[sort.SearchFloat64s(times, from):]
-}
-
 // choose takes the build by its share of the list and, within it, the better of two random choices.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	var trial, old []*unit
 	var trialHeft, heft float64
-	floor, bound := 0, b.t.OneWay && c.Key != 0 && (b.phase == OnTrial || b.phase == Released)
-	if bound {
+	floor := 0
+	if b.t.OneWay && c.Key != 0 {
 		floor = b.answered[c.Key]
 	}
 	for _, u := range b.units {
@@ -454,14 +376,6 @@
 	return b.Pick(now, c)
 }
 
-// mean moves m towards v.
-func mean(m *float64, v float64) {
-	if *m == 0 {
-		*m = v
-	}
-	*m += quick * (v - *m)
-}
-
 // judge enters an outcome into the unit's health, the usual times and MaxSPRT-AB's counts.
 func (b *Balancer) judge(now float64, c *Command, u *unit, r Result, took float64) {
 	op := c.Op
@@ -488,46 +402,31 @@
 	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
 		return
 	}
+	of := &b.sampleOf(u.id, u.build).of
+	if r != TimedOut {
+		of[wrong].add(bad)
+	}
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
 	// Nor does lateness once the earlier machines are gone: a burst or a slow fleet then meets one build only.
-	if r == TimedOut && !(warm && b.paired) {
+	if !warm || !b.paired {
+		if r != TimedOut {
+			of[lost].add(bad)
+		}
 		return
 	}
-	s := b.sampleOf(u.id, u.build)
-	s.n++
-	if bad {
-		s.bad++
+	of[lost].add(bad)
+	if r != Acked && r != TimedOut {
+		return
 	}
-	if r == TimedOut {
-		s.late++
+	mark := slowMark
+	if u.build == b.build {
+		mark *= slack
+	} else if r == Acked {
+		mean(&b.plain[op], took)
 	}
-	if warm && b.paired && (r == Acked || r == TimedOut) {
-		trial := u.build == b.build
-		if !trial && r == Acked {
-			mean(&b.plain[op], took)
-		}
-		if b.plain[op] > 0 {
-			mark := slowMark * b.plain[op]
-			if trial {
-				mark *= slack
-			}
-			s.timed++
-			if took > mark {
-				s.lag++
-			}
-		}
-	}
-}
-
-func (b *Balancer) sampleOf(id uint32, build int) *sample {
-	for _, s := range b.samples {
-		if s.unit == id && s.build == build {
-			return s
-		}
+	if b.plain[op] > 0 {
+		of[slow].add(took > mark*b.plain[op])
 	}
-	s := &sample{unit: id, build: build}
-	b.samples = append(b.samples, s)
-	return s
 }
 
 // Flagged enters a wrong answer that a client found, sent age ago.
@@ -540,92 +439,73 @@
 	if now-age < u.since {
 		build = u.before
 	}
-	if s := b.sampleOf(id, build); s.n > s.bad {
-		s.bad++
+	for kind := wrong; kind <= lost; kind++ {
+		if of := &b.sampleOf(id, build).of[kind]; of.n > of.bad {
+			of.bad++
+		}
 	}
 }
 
 // nats is MaxSPRT-AB's L, signed: positive where the trial build fails more often.
-func nats(nA, xA, nB, xB float64) float64 {
-	if nA == 0 || nB == 0 {
-		return 0
-	}
-	ll := func(n, x float64) float64 {
-		if x <= 0 || x >= n {
+func nats(a, b count) float64 {
+	ll := func(c count) float64 {
+		if c.bad <= 0 || c.bad >= c.n {
 			return 0
 		}
-		return x*math.Log(x/n) + (n-x)*math.Log(1-x/n)
+		return c.bad*math.Log(c.bad/c.n) + (c.n-c.bad)*math.Log(1-c.bad/c.n)
 	}
-	l := ll(nA, xA) + ll(nB, xB) - ll(nA+nB, xA+xB)
-	if xB/nB < xA/nA {
+	l := ll(a) + ll(b) - ll(count{a.n + b.n, a.bad + b.bad})
+	if b.bad*a.n < a.bad*b.n {
 		return -l
 	}
 	return l
 }
 
-// excess is L over both builds' samples. A build is bad on all its machines: the worst machine of a side, where the
-// side has others, is left out, so that one failing, slow or silent unit is not taken for the build. For slowness,
-// which neighbours and queues cause on several machines, the worse half is left out. A lone trial machine's lateness
-// is no proof at all (it may be the machine, or what queued while it was cold): the next stage has more of them.
-func (b *Balancer) excess(slow bool) float64 {
+// excess is L over both builds' samples. A build is bad on all its machines: the machine of a side with the most
+// failures above the usual, where the side has others, is left out, so that one failing, slow or silent unit is not
+// taken for the build. For slowness, which neighbours and queues cause on several machines, half the trial side is
+// left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while it was
+// cold): the next stage has more of them.
+func (b *Balancer) excess(kind int) float64 {
 	var side [2][]*sample
+	var sum [2]count
 	for _, s := range b.samples {
+		i := 0
 		if s.build == b.build {
-			side[1] = append(side[1], s)
-		} else if s.build < b.build {
-			side[0] = append(side[0], s)
+			i = 1
 		}
+		side[i] = append(side[i], s)
+		sum[i].n, sum[i].bad = sum[i].n+s.of[kind].n, sum[i].bad+s.of[kind].bad
 	}
-	lone := len(side[1]) == 1
-	if lone && slow {
+	if kind != wrong && len(side[1]) < 2 {
 		return 0
 	}
-	get := func(s *sample) (float64, float64) {
-		if slow {
-			return s.timed, s.lag
-		}
-		if lone && s.build == b.build {
-			return s.n - s.late, s.bad - s.late
-		}
-		return s.n, s.bad
-	}
-	var n, x [2]float64
-	for i, list := range side {
-		for _, s := range list {
-			m, y := get(s)
-			n[i], x[i] = n[i]+m, x[i]+y
-		}
-	}
-	spread := b.spread(side[0], get, n[0], x[0])
+	spread, usual := spread(side[0], kind, sum[0]), sum[0].bad/max(1, sum[0].n)
 	for i, list := range side {
-		over := func(s *sample) float64 {
-			m, y := get(s)
-			return y - m*x[0]/max(1, n[0])
-		}
-		sort.SliceStable(list, func(j, k int) bool { return over(list[j]) > over(list[k]) })
+		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
+		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(1, len(list)/2)
-		if slow && i == 1 {
+		if kind == slow && i == 1 {
 			skip = len(list) / 2
 		}
 		for _, s := range list[:skip] {
-			m, y := get(s)
-			n[i], x[i] = n[i]-m, x[i]-y
+			sum[i].n, sum[i].bad = sum[i].n-s.of[kind].n, sum[i].bad-s.of[kind].bad
 		}
 	}
-	if n[1] < leastSeen || x[1] < leastBad {
+	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
-	return nats(n[0], x[0], n[1], x[1]) / spread
+	return nats(sum[0], sum[1]) / spread
 }
 
 // spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
 // machines differ among themselves, against what chance alone gives (a median of 0.455 for 2L). Queues, bursts and
 // machines of unlike speed make failures come in clumps; a few failing machines don't move the median.
-func (b *Balancer) spread(list []*sample, get func(*sample) (float64, float64), n, x float64) float64 {
+func spread(list []*sample, kind int, sum count) float64 {
 	var twice []float64
 	for _, s := range list {
-		if m, y := get(s); m >= leastSeen {
-			twice = append(twice, 2*math.Abs(nats(n-m, x-y, m, y)))
+		if c := s.of[kind]; c.n >= leastSeen {
+			twice = append(twice, 2*math.Abs(nats(count{sum.n - c.n, sum.bad - c.bad}, c)))
 		}
 	}
 	if len(twice) == 0 {
@@ -652,13 +532,10 @@
 		return
 	}
 	b.calling = false
-	switch r {
-	case Counted:
+	if r == Counted {
 		b.standing, b.votedAt = b.asked, b.callAt
-	case Moot:
+	} else {
 		b.mute = now + 2*check
-	default:
-		b.mute = now + check
 	}
 }
 
@@ -667,7 +544,7 @@
 	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
 		return VoteNone
 	}
-	l := max(b.excess(false), b.excess(true))
+	l := max(b.excess(wrong), b.excess(lost), b.excess(slow))
 	line := backNats + math.Log(float64(b.t.Balancers))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
@@ -692,7 +569,7 @@
 	}
 	for _, s := range b.samples {
 		if s.build == b.build {
-			seen += s.n
+			seen += s.of[lost].n
 		}
 	}
 	if n < math.Floor(places*b.t.Stages[b.stage]+0.5) && now-b.stageAt < onBlind || n == 0 {
@@ -713,7 +590,7 @@
 	t := Turn{In: check}
 	b.steer()
 	for _, s := range b.samples {
-		s.timed, s.lag = s.timed*lagFade, s.lag*lagFade
+		s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
 	}
 	if b.t.Ask && !b.watching && now-b.watchAt >= 1 {
 		t.Subscribe, b.watchAt = true, now
@@ -750,33 +627,6 @@
 	b.peak = b.open
 }
 
-// ListStart begins a list; full names every unit there is, else only changes follow.
-func (b *Balancer) ListStart(full bool) {
-	b.full, b.watching = full, true
-	for _, u := range b.units {
-		u.known = !full
-	}
-}
-
-// Listed is one entry.
-func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
-	u := b.byID[id]
-	if u == nil {
-		u = &unit{id: id, before: build, build: build, since: since}
-		b.byID[id] = u
-		b.units = append(b.units, u)
-		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
-	}
-	if since != u.since || build != u.build {
-		u.before, u.fail, u.slow, u.sent = u.build, 0, 0, nil
-	}
-	if heft <= 0 {
-		heft = 1
-	}
-	u.zone, u.cell, u.build, u.heft, u.since = zone, cell, build, heft, since
-	u.ready, u.known = state == Ready, true
-}
-
 // ListEnd closes a list: what a full one does not name is gone.
 func (b *Balancer) ListEnd(now float64) {
 	b.paired = false
@@ -788,16 +638,3 @@
 	}
 	b.paired = b.paired && old
 }
-
-// ListFailed: a call for the list failed; it is asked again from Wait.
-func (b *Balancer) ListFailed() { b.watching = false }
-
-func (b *Balancer) chance() float64 {
-	var buf [16]byte
-	b.counter++
-	binary.LittleEndian.PutUint64(buf[:], b.counter)
-	binary.LittleEndian.PutUint64(buf[8:], b.seed)
-	b.hash.Reset()
-	b.hash.Write(buf[:])
-	return float64(b.hash.Sum64()>>11) / (1 << 53)
-}
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,159 @@
+package policy
+
+import (
+	"encoding/binary"
+	"hash"
+	"sort"
+)
+
+// What a balancer remembers, and its bookkeeping. Nothing is decided here.
+
+type unit struct {
+	id           uint32
+	zone, cell   uint16
+	build        int
+	heft, since  float64
+	ready, known bool    // known: named by the list being read
+	before       int     // the build an earlier process or machine of this id ran
+	open         int     // own deliveries out
+	heard        float64 // last answer, or first delivery since none was out
+	fail, failAt float64 // share of failures lately, fading
+	slow         float64 // answer time over the usual
+	most         int     // most deliveries out at once: connections held
+	sent         []load  // while cold: own deliveries within the fall time
+}
+
+type load struct{ at, work float64 }
+
+// sample is what one machine did while the present build was new: MaxSPRT-AB's counts, kept by unit and build.
+type sample struct {
+	unit  uint32
+	build int
+	of    [kinds]count
+}
+
+type count struct{ n, bad float64 }
+
+// Balancer is one instance's decisions.
+type Balancer struct {
+	t       Terms
+	seed    uint64
+	counter uint64
+	hash    hash.Hash64
+
+	units  []*unit // by id
+	byID   map[uint32]*unit
+	full   bool
+	paired bool // machines of both builds run side by side
+
+	told     bool // the stage is known
+	build    int
+	stage    int
+	phase    Phase
+	cap      float64
+	stageAt  float64
+	samples  []*sample // in order of first outcome
+	taken    [][]float64
+	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
+	answered map[uint64]int
+
+	usual  []float64 // answer time by op type
+	plain  []float64 // the same of warm machines of the earlier build
+	missed []float64 // when a command of the op type last ended failed
+	tokens float64
+	open   int
+	peak   int
+	limit  float64
+	ratio  float64 // answer time over service target lately
+	worth  float64 // highest importance
+	hint   float64 // usual work told
+
+	votedAt, callAt float64
+	standing, asked vote
+	calling         bool
+	mute            float64
+	watching        bool
+	watchAt         float64
+}
+
+type vote struct {
+	build, stage int
+	verdict      Verdict
+}
+
+func (b *Balancer) bucket(op int) int {
+	if b.t.PerOp {
+		return op
+	}
+	return 0
+}
+
+func after(times []float64, from float64) []float64 {
+	return times[sort.SearchFloat64s(times, from):]
+}
+
+// mean moves m towards v.
+func mean(m *float64, v float64) {
+	if *m == 0 {
+		*m = v
+	}
+	*m += quick * (v - *m)
+}
+
+func (c *count) add(bad bool) {
+	c.n++
+	if bad {
+		c.bad++
+	}
+}
+
+func (b *Balancer) sampleOf(id uint32, build int) *sample {
+	for _, s := range b.samples {
+		if s.unit == id && s.build == build {
+			return s
+		}
+	}
+	s := &sample{unit: id, build: build}
+	b.samples = append(b.samples, s)
+	return s
+}
+
+// ListStart begins a list; full names every unit there is, else only changes follow.
+func (b *Balancer) ListStart(full bool) {
+	b.full, b.watching = full, true
+	for _, u := range b.units {
+		u.known = !full
+	}
+}
+
+// Listed is one entry.
+func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
+	u := b.byID[id]
+	if u == nil {
+		u = &unit{id: id, before: build, build: build, since: since}
+		b.byID[id] = u
+		b.units = append(b.units, u)
+		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
+	}
+	if since != u.since || build != u.build {
+		u.before, u.fail, u.slow, u.sent = u.build, 0, 0, nil
+	}
+	if heft <= 0 {
+		heft = 1
+	}
+	u.zone, u.cell, u.build, u.heft, u.since = zone, cell, build, heft, since
+	u.ready, u.known = state == Ready, true
+}
+
+// ListFailed: a call for the list failed; it is asked again from Wait.
+func (b *Balancer) ListFailed() { b.watching = false }
+
+func (b *Balancer) chance() float64 {
+	var buf [16]byte
+	b.counter++
+	binary.LittleEndian.PutUint64(buf[:], b.counter)
+	binary.LittleEndian.PutUint64(buf[8:], b.seed)
+	b.hash.Reset()
+	b.hash.Write(buf[:])
+	return float64(b.hash.Sum64()>>11) / (1 << 53)
+}
