--- a/policy/policy.go
+++ b/policy/policy.go
@@ -383,7 +383,9 @@
 		r = TimedOut // called off for its unit's silence
 	}
 	bad := r == Errored || r == TimedOut || r == Broken || r == Unconnected
-	u.heard = now
+	if r != TimedOut {
+		u.heard = now
+	}
 	f, v := b.failing(now, u), 0.0
 	if bad || r == Full {
 		v = 1
