--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,9 +38,10 @@
 
 // The kinds of failure that are counted apart, each against outcomes of its own.
 const (
-	wrong = iota // errors, resets, failed connections, flagged answers
-	lost         // these and time-outs
-	slow         // answers of warm machines that took far longer than usual
+	wrong  = iota // flagged answers
+	failed        // errors, resets, failed connections
+	lost          // these and time-outs
+	slow          // answers of warm machines that took far longer than usual
 	kinds
 )
 
@@ -392,8 +393,8 @@
 	}
 	u.fail, u.failAt = f+0.25*(v-f), now
 	sent := now - took
-	same := sent >= u.since // it went to this process, not to an earlier one of the id
-	warm := same && b.ramp(sent, u) >= 1
+	same := sent >= u.since                      // it went to this process, not to an earlier one of the id
+	warm := same && sent-u.since >= 2*b.t.WarmUp // and rid of what queued while it was cold
 	if r == Acked || r == TimedOut {
 		if b.usual[op] > 0 {
 			mean(&u.slow, took/b.usual[op])
@@ -405,18 +406,24 @@
 		return
 	}
 	of := &b.sampleOf(u.id, u.build).of
+	if r == Acked {
+		of[wrong].add(false)
+	}
+	// Without earlier machines beside it, a burst, a slow fleet or failing machines meet the trial build alone, and
+	// its failures are no comparison. Wrong answers are: nothing but the build makes them.
+	if !b.paired {
+		return
+	}
 	if r != TimedOut {
-		of[wrong].add(bad)
+		of[failed].add(bad)
 	}
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
-	// Nor does lateness once the earlier machines are gone: a burst or a slow fleet then meets one build only.
-	if !warm || !b.paired {
-		if r != TimedOut {
-			of[lost].add(bad)
-		}
+	if r != TimedOut || warm {
+		of[lost].add(bad)
+	}
+	if !warm {
 		return
 	}
-	of[lost].add(bad)
 	if r != Acked && r != TimedOut {
 		return
 	}
@@ -441,10 +448,8 @@
 	if now-age < u.since {
 		build = u.before
 	}
-	for kind := wrong; kind <= lost; kind++ {
-		if of := &b.sampleOf(id, build).of[kind]; of.n > of.bad {
-			of.bad++
-		}
+	if of := &b.sampleOf(id, build).of[wrong]; of.n > of.bad {
+		of.bad++
 	}
 }
 
@@ -479,7 +484,7 @@
 		side[i] = append(side[i], s)
 		sum[i].n, sum[i].bad = sum[i].n+s.of[kind].n, sum[i].bad+s.of[kind].bad
 	}
-	if kind != wrong && len(side[1]) < 2 {
+	if kind >= lost && len(side[1]) < 2 {
 		return 0
 	}
 	spread, usual := spread(side[0], kind, sum[0]), sum[0].bad/max(1, sum[0].n)
@@ -546,7 +551,7 @@
 	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
 		return VoteNone
 	}
-	l := max(b.excess(wrong), b.excess(lost), b.excess(slow))
+	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow))
 	line := backNats + math.Log(float64(b.t.Balancers))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
