--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,9 +39,9 @@
 // The kinds of failure that are counted apart, each against outcomes of its own.
 const (
 	wrong  = iota // flagged answers
-	failed        // errors, resets, failed connections
-	lost          // these and time-outs
-	slow          // answers of warm machines that took far longer than usual
+	failed        // errors, resets
+	lost          // these, failed connections, time-outs
+	slow          // answers of warm machines that took far longer than usual, and commands they had no room for
 	kinds
 )
 
@@ -235,7 +235,7 @@
 		if !u.ready || u.build < floor || !b.sameGroup(c, u) {
 			continue
 		}
-		w := u.heft * b.ramp(now, u)
+		w := u.heft * b.ramp(now, u) * (1.02 - b.failing(now, u))
 		if b.onTrial(u.build) {
 			trialHeft += w
 			if b.room(now, c, u.build) >= 1 {
@@ -409,22 +409,22 @@
 	if r == Acked {
 		of[wrong].add(false)
 	}
-	// Without earlier machines beside it, a burst, a slow fleet or failing machines meet the trial build alone, and
-	// its failures are no comparison. Wrong answers are: nothing but the build makes them.
+	if r != TimedOut && r != Full && r != Unconnected {
+		of[failed].add(bad)
+	}
+	// Without earlier machines beside it, a burst, a slow fleet or vanished machines meet the trial build alone, and
+	// its lateness is no comparison. Errors and wrong answers still are.
 	if !b.paired {
 		return
 	}
-	if r != TimedOut {
-		of[failed].add(bad)
-	}
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
-	if r != TimedOut || warm {
+	if r != Full && (r != TimedOut || warm) {
 		of[lost].add(bad)
 	}
 	if !warm {
 		return
 	}
-	if r != Acked && r != TimedOut {
+	if r != Acked && r != TimedOut && r != Full {
 		return
 	}
 	mark := slowMark
@@ -434,7 +434,7 @@
 		mean(&b.plain[op], took)
 	}
 	if b.plain[op] > 0 {
-		of[slow].add(took > mark*b.plain[op])
+		of[slow].add(r == Full || took > mark*b.plain[op])
 	}
 }
 
@@ -470,8 +470,8 @@
 
 // excess is L over both builds' samples. A build is bad on all its machines: the machine of a side with the most
 // failures above the usual, where the side has others, is left out, so that one failing, slow or silent unit is not
-// taken for the build. For slowness, which neighbours and queues cause on several machines, half the trial side is
-// left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while it was
+// taken for the build. For slowness, which neighbours and queues cause on several machines, and for failures without
+// an earlier machine beside them, half the trial side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while it was
 // cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
 	var side [2][]*sample
@@ -492,7 +492,7 @@
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(1, len(list)/2)
-		if kind == slow && i == 1 {
+		if i == 1 && (kind == slow || kind == failed && !b.paired) {
 			skip = len(list) / 2
 		}
 		for _, s := range list[:skip] {
