--- a/policy/policy.go
+++ b/policy/policy.go
@@ -470,7 +470,7 @@
 
 // excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the most
 // failures above the usual, where the side has others, is left out, so that failing, slow or silent units are not
-// taken for the build. For slowness, which neighbours and queues cause on many machines, half the trial side is left
+// taken for the build; for wrong answers, which are rare and reported in part, one machine is. For slowness, which neighbours and queues cause on many machines, half the trial side is left
 // out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while it was cold):
 // the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
@@ -492,7 +492,9 @@
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(len(list)+3, 2*len(list)) / 4
-		if i == 1 && kind == slow {
+		if kind == wrong {
+			skip = min(1, len(list)/2)
+		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
 		for _, s := range list[:skip] {
