--- a/policy/policy.go
+++ b/policy/policy.go
@@ -625,11 +625,18 @@
 	return t
 }
 
-// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets alike.
+// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets alike. The
+// bound stays above this balancer's even part of two deliveries a unit: below that a fleet idles.
 func (b *Balancer) steer() {
+	least := 2.0
+	for _, u := range b.units {
+		if u.ready {
+			least += 2 / float64(b.t.Balancers)
+		}
+	}
 	switch {
 	case b.ratio > hopeful:
-		b.limit = max(2, min(b.limit, float64(b.peak))*0.9)
+		b.limit = max(least, min(b.limit, float64(b.peak))*0.9)
 	case float64(b.peak) > 0.7*b.limit:
 		b.limit += 1 + 0.05*b.limit
 	}
