--- a/policy/policy.go
+++ b/policy/policy.go
@@ -106,6 +106,7 @@
 		u.heard = now
 	}
 	u.open++
+	u.work += c.Work
 	u.most = max(u.most, u.open)
 	b.open++
 	b.peak = max(b.peak, b.open)
@@ -114,7 +115,7 @@
 		b.tried[i] = append(b.tried[i], now)
 	}
 	if b.ramp(now, u) < 1 {
-		u.sent = append(u.sent, load{now, b.work(c)})
+		u.sent = append(u.sent, load{now, c.Work})
 	}
 	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*b.t.Round}
 	if look := now + b.patience(c); op.Effect != AtMostOnce && look < c.Came+op.Target {
@@ -128,7 +129,7 @@
 	if b.usual[c.Op] == 0 {
 		return math.Inf(1)
 	}
-	return patience * b.usual[c.Op] * max(1, b.work(c))
+	return patience * b.usual[c.Op] * max(1, c.Work)
 }
 
 // silent tells whether what is out has met a unit that has answered nothing since: a silent, stuck or far slower
@@ -147,21 +148,17 @@
 	i := b.bucket(c.Op)
 	b.taken[i] = append(b.taken[i], now)
 	b.tokens = min(b.tokens+retryRate, retryMost)
+	// From here on work is counted against the usual command's.
 	if c.Work > 0 {
 		mean(&b.hint, c.Work)
+		c.Work /= b.hint
+	} else {
+		c.Work = 1
 	}
 	// One caller's instant repeats are one failure, not many.
 	c.Repeat = c.Repeat || now-b.missed[c.Op] <= repeatIn
 }
 
-// work is what a command is said to need, the usual command's being 1.
-func (b *Balancer) work(c *Command) float64 {
-	if c.Work > 0 && b.hint > 0 {
-		return c.Work / b.hint
-	}
-	return 1
-}
-
 // mayRepeat is rule 2: whether another delivery can do no harm.
 func (b *Balancer) mayRepeat(now float64, c *Command) bool {
 	op := &b.t.Ops[c.Op]
@@ -290,17 +287,17 @@
 		if !b.warmEnough(now, c, u) {
 			continue
 		}
-		if cost := b.cost(now, u); best == nil || cost < least {
+		if cost := b.cost(now, u, c.Work); best == nil || cost < least {
 			best, least = u, cost
 		}
 	}
 	return best
 }
 
-// cost is how loaded a unit looks from here: own deliveries out, how slowly it answers, how long it has been silent
+// cost is how loaded a unit looks from here: own work out and to come, how slowly it answers, how long it has been silent
 // and how often it failed lately. It answers slow, silent and fast-failing units alike, whatever the cause, and
 // forgets with time so that each is tried again.
-func (b *Balancer) cost(now float64, u *unit) float64 {
+func (b *Balancer) cost(now float64, u *unit, work float64) float64 {
 	slow := max(u.slow, 0.2)
 	if u.slow == 0 {
 		slow = 1
@@ -308,7 +305,7 @@
 	if m := b.meanUsual(); u.open > 0 && m > 0 {
 		slow = max(slow, (now-u.heard)/(2*m))
 	}
-	return (float64(u.open) + 1) * slow * (1 + failCost*b.failing(now, u)) / (u.heft * b.ramp(now, u))
+	return (u.work + work) * slow * (1 + failCost*b.failing(now, u)) / (u.heft * b.ramp(now, u))
 }
 
 func (b *Balancer) failing(now float64, u *unit) float64 {
@@ -339,7 +336,7 @@
 		u.sent = nil
 		return true
 	}
-	sum := b.work(c)
+	sum := c.Work
 	for len(u.sent) > 0 && u.sent[0].at < now-b.t.FallTime {
 		u.sent = u.sent[1:]
 	}
@@ -356,14 +353,15 @@
 		b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
 		rate += float64(len(b.taken[i])) / b.t.Window
 	}
-	fair := rate / float64(n) * b.t.FallTime * b.work(c)
-	return sum <= max(2*b.work(c), coldPart*b.t.FallFactor*0.5*r*fair)
+	fair := rate / float64(n) * b.t.FallTime * c.Work
+	return sum <= max(2*c.Work, coldPart*b.t.FallFactor*0.5*r*fair)
 }
 
 // After says what to do with a command after one of its deliveries, sent to id, ended.
 func (b *Balancer) After(now float64, c *Command, id uint32, r Result, took float64) Step {
 	u := b.byID[id]
 	u.open--
+	u.work -= c.Work
 	b.open--
 	if r != Unsent && (r != Cancelled || !c.Ended) {
 		b.judge(now, c, u, r, took)
@@ -395,12 +393,13 @@
 	sent := now - took
 	same := sent >= u.since                      // it went to this process, not to an earlier one of the id
 	warm := same && sent-u.since >= 2*b.t.WarmUp // and rid of what queued while it was cold
+	size := (1 + c.Work) / 2                     // a part of an answer's time goes with the work, a part is waiting
 	if r == Acked || r == TimedOut {
 		if b.usual[op] > 0 {
-			mean(&u.slow, took/b.usual[op])
+			mean(&u.slow, took/b.usual[op]/size)
 		}
-		mean(&b.usual[op], took)
-		mean(&b.ratio, took/b.t.Ops[op].Target)
+		mean(&b.usual[op], took/size)
+		mean(&b.ratio, took/size/b.t.Ops[op].Target)
 	}
 	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -16,6 +16,7 @@
 	ready, known bool    // known: named by the list being read
 	before       int     // the build an earlier process or machine of this id ran
 	open         int     // own deliveries out
+	work         float64 // their work
 	heard        float64 // last answer, or first delivery since none was out
 	fail, failAt float64 // share of failures lately, fading
 	slow         float64 // answer time over the usual
