--- a/policy/policy.go
+++ b/policy/policy.go
@@ -232,7 +232,7 @@
 		if !u.ready || u.build < floor || !b.sameGroup(c, u) {
 			continue
 		}
-		w := u.heft * b.ramp(now, u) * (1.02 - b.failing(now, u))
+		w := u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		if b.onTrial(u.build) {
 			trialHeft += w
 			if b.room(now, c, u.build) >= 1 {
@@ -562,8 +562,8 @@
 		return VoteNone
 	case b.t.Automatic && l > line/2:
 		return VoteHold
-	case b.t.Automatic:
-		return VoteNone
+	case b.t.Automatic || l > line/2:
+		return VoteNone // the clock moves the stage, or there is doubt
 	}
 	var newest, n, seen, places float64
 	for _, u := range b.units {
--- /dev/null
+++ b/policy/rules_test.go
@@ -0,0 +1,216 @@
+package policy
+
+import "fmt"
+
+// Rule 1: a command that can go nowhere is held, then answered before the client's time is up.
+func Example_finalAnswer() {
+	f := newFleet(nil)
+	f.list(true)
+	c, s := f.command(0)
+	start, holds := f.now, 0
+	for s.Do == Hold {
+		holds++
+		f.now = s.Again
+		s = f.pick(c)
+	}
+	fmt.Println(holds > 0, s, "ahead of the time-out:", f.now < c.Due, "not before the target:", f.now-start >= 0.3)
+	fmt.Println("then:", f.pick(c))
+	// Output:
+	// true nack, back in 0.3 s ahead of the time-out: true not before the target: true
+	// then: nothing
+}
+
+// Rule 2: what may follow each outcome, by effect.
+func Example_effects() {
+	names := []string{"redeliverable", "deduplicated", "at-most-once"}
+	results := []struct {
+		name string
+		r    Result
+	}{{"error", Errored}, {"full", Full}, {"no connection", Unconnected}, {"broken", Broken}}
+	for op, name := range names {
+		for _, r := range results {
+			f := newFleet(nil)
+			c, _ := f.command(op)
+			f.now += 0.02
+			fmt.Printf("%s, %s: %v\n", name, r.name, f.answer(c, r.r))
+		}
+	}
+	// Past the window in which repeats are dropped, and outside the group, nothing more is sent.
+	f := newFleet(func(t *Terms) { t.Ops[1].Window = 0.1; t.Ops[1].Group = GroupCell })
+	c, _ := f.command(1)
+	f.now += 0.02
+	s := f.answer(c, Errored)
+	fmt.Println("same cell:", c.Sent[0].Unit%2 == c.Sent[1].Unit%2, s)
+	f.now += 0.1
+	fmt.Println("window over:", f.answer(c, Errored))
+	// Output:
+	// redeliverable, error: send
+	// redeliverable, full: send
+	// redeliverable, no connection: send
+	// redeliverable, broken: send
+	// deduplicated, error: send
+	// deduplicated, full: send
+	// deduplicated, no connection: send
+	// deduplicated, broken: send
+	// at-most-once, error: fail
+	// at-most-once, full: send
+	// at-most-once, no connection: send
+	// at-most-once, broken: fail
+	// same cell: true send
+	// window over: fail
+}
+
+// Rule 3: nothing goes to a unit from the moment the list says it drains or is gone.
+func Example_drain() {
+	f := newFleet(nil)
+	f.list(false, machine{id: 1, build: 7, state: Draining}, machine{id: 2, build: 7, state: Gone})
+	f.list(true, machine{id: 1, build: 7, state: Draining}, machine{id: 4, build: 7}) // 3 left unnamed
+	met := map[uint32]int{}
+	f.run(40, 2, func(u uint32, _ int) (Result, float64) { met[u]++; return Acked, 0.05 })
+	fmt.Println(met)
+	// Output: map[4:40]
+}
+
+// Rule 4: a cold unit takes a part of what a warm one takes.
+func Example_cold() {
+	f := newFleet(nil)
+	f.run(100, 2, fine)
+	f.list(false, machine{id: 4, build: 7, since: f.now})
+	met := map[uint32]int{}
+	// All warm machines fail at once, so the cold one looks far better than they.
+	f.run(200, 1, func(u uint32, _ int) (Result, float64) {
+		met[u]++
+		if u == 4 {
+			return Acked, 0.01
+		}
+		return Full, 0.01
+	})
+	fmt.Println("cold, first second:", met[4] <= 50, met[4] > 0)
+	// Output: cold, first second: true true
+}
+
+// Rule 5: trial deliveries in a window stay within free + cap x commands taken.
+func Example_exposure() {
+	all := []machine{{1, 7, Gone, 0}, {2, 7, Gone, 0}, {3, 7, Gone, 0}, {4, 7, Ready, 0}, {5, 8, Ready, 90}, {6, 8, Ready, 90}}
+	f := newFleet(nil)
+	f.list(true, all...)
+	fmt.Println("unannounced:", f.run(200, 4, fine)[8] <= 22)
+	f.b.Stage(f.now, 8, 1, OnTrial, 0.5, 0)
+	fmt.Println("half allowed:", f.run(200, 4, fine)[8] <= 102)
+	f.b.Stage(f.now, 8, 1, GoingBack, 0, 0)
+	fmt.Println("going back:", f.run(200, 4, fine)[8])
+	f.b.Stage(f.now, 8, 2, Released, 1, 0)
+	fmt.Println("released:", f.run(200, 4, fine)[8] > 100)
+
+	f = newFleet(func(t *Terms) { t.Guarded, t.PerOp, t.Free, t.Caps[0] = 1, true, 1, 0.04 })
+	f.list(true, all...)
+	f.b.Stage(f.now, 8, 0, OnTrial, 0.04, 0)
+	trial := [3]int{}
+	for i := 0; i < 300; i++ {
+		c, s := f.command(i % 3)
+		if f.b.byID[s.Unit].build == 8 {
+			trial[c.Op]++
+		}
+		f.answer(c, Acked)
+		f.now += 0.01
+	}
+	fmt.Println("guarded stage, by op type:", trial[0] > 0 && trial[0] <= 5, trial[1:])
+
+	f = newFleet(func(t *Terms) { t.OneWay = true })
+	f.list(true, all...)
+	f.b.Stage(f.now, 8, 2, OnTrial, 1, 0)
+	f.b.answered[99] = 8
+	for i := 0; i < 10; i++ {
+		c := &Command{ID: 1000, Key: 99, Came: f.now, Due: f.now + 0.8}
+		fmt.Print(f.b.byID[f.pick(c).Unit].build, " ")
+	}
+	fmt.Println("one-way key")
+	// Output:
+	// unannounced: true
+	// half allowed: true
+	// going back: 0
+	// released: true
+	// guarded stage, by op type: true [0 0]
+	// 8 8 8 8 8 8 8 8 8 8 one-way key
+}
+
+// After a restart, with only a cached list and no news, a newer build counts as in its first stage.
+func Example_restart() {
+	f := newFleet(nil)
+	f.b = New(f.b.t, 43, f.now)
+	f.list(true, machine{id: 1, build: 7}, machine{id: 5, build: 8}, machine{id: 6, build: 8}, machine{id: 7, build: 8})
+	fmt.Println("within the first stage:", f.run(100, 2, fine)[8] <= 12)
+	f.vote(1, Counted)
+	f.b.Stage(f.now, 8, 2, OnTrial, 1, 9)
+	fmt.Println("after the news:", f.run(100, 6, fine)[8] > 50)
+	f.vote(3, Counted)
+	// Output:
+	// within the first stage: true
+	// no vote
+	// after the news: true
+	// vote on on build 8 stage 2
+}
+
+// A delivery whose unit stays silent is called off, or doubled where two may be out; one on a unit that goes on
+// answering others is left alone.
+func Example_silence() {
+	for _, parallel := range []bool{false, true} {
+		f := newFleet(func(t *Terms) { t.Parallel = parallel })
+		f.run(40, 2, fine)
+		c, s := f.command(0)
+		f.now = s.Again
+		fmt.Println("silent:", f.pick(c))
+		c, s = f.command(0)
+		f.now = s.Again
+		f.b.byID[s.Unit].heard = f.now - 0.01
+		fmt.Println("heard:", f.pick(c))
+	}
+	// Output:
+	// silent: recall
+	// heard: nothing
+	// silent: send
+	// heard: nothing
+}
+
+// A failing unit gets little, whatever way it fails, and is tried again later.
+func Example_failingUnit() {
+	for _, r := range []Result{Errored, Full, Unconnected, Broken} {
+		f := newFleet(nil)
+		f.run(40, 2, fine)
+		met := 0
+		f.run(200, 4, func(u uint32, _ int) (Result, float64) {
+			if u == 2 {
+				met++
+				return r, 0.001
+			}
+			return Acked, 0.05
+		})
+		fmt.Println("little but not none:", met > 0 && met < 25)
+	}
+	// Output:
+	// little but not none: true
+	// little but not none: true
+	// little but not none: true
+	// little but not none: true
+}
+
+// Overload: with answers slow, less is held open, and the less important gives way first.
+func Example_overload() {
+	f := newFleet(nil)
+	f.run(300, 3, func(uint32, int) (Result, float64) { return Acked, 0.25 })
+	for i := 0; i < 20; i++ {
+		f.b.Wait(f.now)
+	}
+	steps := [3]string{}
+	for i := 0; i < 30; i++ {
+		for _, op := range []int{2, 0} {
+			_, s := f.command(op)
+			if s.Do != Send && steps[op] == "" {
+				steps[op] = fmt.Sprintf("%v with %d open", s, f.b.open)
+			}
+		}
+	}
+	fmt.Println("at-most-once, importance 5:", steps[2])
+	fmt.Println("redeliverable, importance 2:", steps[0])
+	// Output:
+}
--- /dev/null
+++ b/policy/votes_test.go
@@ -0,0 +1,164 @@
+package policy
+
+import "fmt"
+
+// trial puts n machines of build 8 on the list, started age ago, and announces the second stage.
+func (f *fleet) trial(n int, age float64) {
+	for i := 0; i < n; i++ {
+		f.list(false, machine{id: uint32(11 + i), build: 8, since: f.now - age})
+	}
+	f.b.Stage(f.now, 8, 1, OnTrial, 0.5, age)
+}
+
+// The back rule: errors on all trial machines.
+func Example_back() {
+	f := newFleet(nil)
+	f.trial(2, 10)
+	f.run(200, 2, func(u uint32, build int) (Result, float64) {
+		if build == 8 {
+			return Errored, 0.01
+		}
+		return Acked, 0.05
+	})
+	f.vote(1, Refused) // cast again when it came back refused
+	f.vote(2, Counted)
+	f.vote(4, Counted) // it stands
+	f.vote(4, Counted) // renewed before it lapses
+	f.b.Stage(f.now, 8, 2, Released, 1, 0)
+	f.vote(6, Counted) // also after a release
+	f.b.Stage(f.now, 8, 1, GoingBack, 0, 0)
+	f.vote(6, Counted)
+	// Output:
+	// vote back on build 8 stage 1
+	// vote back on build 8 stage 1
+	// no vote
+	// vote back on build 8 stage 1
+	// vote back on build 8 stage 2
+	// no vote
+}
+
+// The trouble is in one machine, on either side, or in all alike: no back vote.
+func Example_notTheBuild() {
+	bad := func(r Result, took float64, ids ...uint32) func(uint32, int) (Result, float64) {
+		return func(u uint32, _ int) (Result, float64) {
+			for _, id := range ids {
+				if u == id {
+					return r, took
+				}
+			}
+			return Acked, 0.05
+		}
+	}
+	play := func(name string, n int, age float64, outcome func(uint32, int) (Result, float64)) {
+		f := newFleet(func(t *Terms) { t.Automatic = true })
+		f.trial(n, age)
+		f.run(400, 4, outcome)
+		fmt.Print(name, ": ")
+		f.vote(1, Counted)
+	}
+	play("one trial machine fails", 2, 10, bad(Errored, 0.01, 11))
+	play("one earlier machine fails", 2, 10, bad(Errored, 0.01, 1))
+	play("all fail", 2, 10, bad(Errored, 0.01, 1, 2, 3, 4, 11, 12))
+	play("a lone trial machine times out", 1, 10, bad(TimedOut, 0.6, 11))
+	play("cold trial machines time out", 2, 2.5, bad(TimedOut, 0.6, 11, 12))
+	play("trial machines time out", 2, 10, bad(TimedOut, 0.6, 11, 12))
+	play("trial machines are slow", 2, 10, bad(Acked, 0.2, 11, 12))
+	play("trial machines are full", 2, 10, bad(Full, 0.01, 11, 12))
+	// Output:
+}
+
+// After the release nothing but errors and wrong answers speak against a build: a burst has no earlier machine to be
+// compared with.
+func Example_afterRelease() {
+	for _, r := range []Result{TimedOut, Unconnected, Errored} {
+		f := newFleet(nil)
+		f.trial(4, 10)
+		f.run(200, 2, fine)
+		f.b.Stage(f.now, 8, 2, Released, 1, 0)
+		f.list(false, machine{1, 7, Gone, 0}, machine{2, 7, Gone, 0}, machine{3, 7, Gone, 0}, machine{4, 7, Gone, 0})
+		f.run(200, 2, func(uint32, int) (Result, float64) { return r, 0.1 })
+		f.vote(1, Counted)
+	}
+	// Output:
+	// no vote
+	// no vote
+	// vote back on build 8 stage 2
+}
+
+// Wrong answers are seen only by flags, in part and late; flags on a machine's earlier process are not the trial's.
+func Example_flags() {
+	f := newFleet(nil)
+	f.trial(2, 10)
+	f.run(200, 2, fine)
+	for i := 0; i < 6; i++ {
+		f.b.Flagged(f.now, 1, 1)
+	}
+	f.vote(0.5, Counted)
+	for i := 0; i < 8; i++ {
+		f.b.Flagged(f.now, uint32(11+i%2), 1)
+	}
+	f.vote(0.5, Counted)
+	// Output:
+}
+
+// The on rule: the stage's share listed, 3 s after the newest start with 20 outcomes, else 5 s; none where the clock
+// moves stages.
+func Example_on() {
+	f := newFleet(nil)
+	f.trial(1, 0)
+	f.vote(8, Counted) // the stage wants two machines
+	f.list(false, machine{id: 12, build: 8, since: f.now})
+	start := f.now
+	f.vote(8, Counted)
+	fmt.Println("few outcomes, waited 5 s:", f.now-start >= 5)
+
+	f = newFleet(nil)
+	f.trial(2, 0)
+	start = f.now
+	f.run(200, 2.9, fine)
+	f.vote(0.1, Counted)
+	f.vote(8, Counted)
+	fmt.Println("enough outcomes, waited 3 s:", f.now-start >= 3 && f.now-start < 3.6)
+
+	f = newFleet(func(t *Terms) { t.Automatic = true })
+	f.trial(2, 0)
+	f.run(200, 2.9, fine)
+	f.vote(8, Counted)
+	// Output:
+}
+
+// Under the clock a doubt holds the stage; a back vote is withdrawn when its evidence fades.
+func Example_hold() {
+	f := newFleet(func(t *Terms) { t.Automatic = true })
+	f.trial(2, 10)
+	n := 0
+	f.run(130, 2, func(_ uint32, build int) (Result, float64) {
+		if build == 8 {
+			if n++; n%9 == 0 {
+				return Errored, 0.01
+			}
+		}
+		return Acked, 0.05
+	})
+	f.vote(0.5, Counted)
+	f.run(400, 4, fine)
+	f.vote(2, Counted)
+	// Output:
+}
+
+// A command that a client repeats at once is one failure, not many.
+func Example_repeats() {
+	f := newFleet(nil)
+	f.trial(2, 10)
+	f.run(60, 1, fine)
+	before := f.b.sampleOf(11, 8).of[failed].n + f.b.sampleOf(12, 8).of[failed].n
+	for i := 0; i < 60; i++ {
+		c, s := f.command(2)
+		if s.Do == Send {
+			f.answer(c, Errored)
+		}
+		f.now += 0.001
+	}
+	fmt.Println("counted:", f.b.sampleOf(11, 8).of[failed].n+f.b.sampleOf(12, 8).of[failed].n-before < 5)
+	// Output: counted: true
+}
