--- a/policy/policy.go
+++ b/policy/policy.go
@@ -532,6 +532,7 @@
 		clear(b.answered)
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
+	b.pair()
 }
 
 // VoteAnswered is what became of the vote last cast.
@@ -610,10 +611,11 @@
 	if want.verdict == VoteBack {
 		want.stage = 0
 	}
+	over := b.phase == GoingBack || b.phase == Withdrawn
 	stands := b.standing.verdict != VoteNone && now-b.votedAt < b.t.VoteLife
 	fresh := stands && now-b.votedAt < b.t.VoteLife/2
 	if want.verdict == VoteNone && (!stands || b.standing.build != b.build || b.standing.verdict == VoteOn) ||
-		want == b.standing && fresh || b.calling || now < b.mute {
+		want == b.standing && fresh || over || b.calling || now < b.mute {
 		return t
 	}
 	if now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
@@ -644,12 +646,18 @@
 
 // ListEnd closes a list: what a full one does not name is gone.
 func (b *Balancer) ListEnd(now float64) {
-	b.paired = false
-	old := false
 	for _, u := range b.units {
 		u.ready = u.ready && u.known
-		b.paired = b.paired || u.ready && u.build == b.build
+	}
+	b.pair()
+}
+
+// pair tells from list and news, whichever came last, whether both builds run side by side.
+func (b *Balancer) pair() {
+	trial, old := false, false
+	for _, u := range b.units {
+		trial = trial || u.ready && u.build == b.build
 		old = old || u.ready && u.build < b.build
 	}
-	b.paired = b.paired && old
+	b.paired = trial && old
 }
--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -14,7 +14,7 @@
 func Example_back() {
 	f := newFleet(nil)
 	f.trial(2, 10)
-	f.run(200, 2, func(u uint32, build int) (Result, float64) {
+	f.run(600, 4, func(u uint32, build int) (Result, float64) {
 		if build == 8 {
 			return Errored, 0.01
 		}
@@ -52,7 +52,7 @@
 	play := func(name string, n int, age float64, outcome func(uint32, int) (Result, float64)) {
 		f := newFleet(func(t *Terms) { t.Automatic = true })
 		f.trial(n, age)
-		f.run(400, 4, outcome)
+		f.run(1200, 8, outcome)
 		fmt.Print(name, ": ")
 		f.vote(1, Counted)
 	}
@@ -93,7 +93,7 @@
 	for i := 0; i < 6; i++ {
 		f.b.Flagged(f.now, 1, 1)
 	}
-	f.vote(0.5, Counted)
+	f.vote(0.1, Counted)
 	for i := 0; i < 8; i++ {
 		f.b.Flagged(f.now, uint32(11+i%2), 1)
 	}
@@ -132,7 +132,7 @@
 	f := newFleet(func(t *Terms) { t.Automatic = true })
 	f.trial(2, 10)
 	n := 0
-	f.run(130, 2, func(_ uint32, build int) (Result, float64) {
+	f.run(300, 4, func(_ uint32, build int) (Result, float64) {
 		if build == 8 {
 			if n++; n%9 == 0 {
 				return Errored, 0.01
