--- a/policy/policy.go
+++ b/policy/policy.go
@@ -486,7 +486,7 @@
 	if kind >= lost && len(side[1]) < 2 {
 		return 0
 	}
-	spread, usual := spread(side[0], kind, sum[0]), sum[0].bad/max(1, sum[0].n)
+	usual := sum[0].bad / max(1, sum[0].n)
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
@@ -499,11 +499,12 @@
 		for _, s := range list[:skip] {
 			sum[i].n, sum[i].bad = sum[i].n-s.of[kind].n, sum[i].bad-s.of[kind].bad
 		}
+		side[i] = list[skip:]
 	}
 	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
-	return nats(sum[0], sum[1]) / spread
+	return nats(sum[0], sum[1]) / spread(side[0], kind, sum[0])
 }
 
 // spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
