--- a/policy/policy.go
+++ b/policy/policy.go
@@ -582,7 +582,7 @@
 			seen += s.of[lost].n
 		}
 	}
-	if n < math.Floor(places*b.t.Stages[b.stage]+0.5) && now-b.stageAt < onBlind || n == 0 {
+	if n < math.Floor(places*b.t.Stages[min(b.stage, len(b.t.Stages)-1)]+0.5) && now-b.stageAt < onBlind || n == 0 {
 		return VoteNone
 	}
 	wait := onWaitFew
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -213,4 +213,6 @@
 	fmt.Println("at-most-once, importance 5:", steps[2])
 	fmt.Println("redeliverable, importance 2:", steps[0])
 	// Output:
+	// at-most-once, importance 5: hold with 6 open
+	// redeliverable, importance 2: nack, back in 0.3 s with 5 open
 }
--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -65,6 +65,14 @@
 	play("trial machines are slow", 2, 10, bad(Acked, 0.2, 11, 12))
 	play("trial machines are full", 2, 10, bad(Full, 0.01, 11, 12))
 	// Output:
+	// one trial machine fails: no vote
+	// one earlier machine fails: no vote
+	// all fail: no vote
+	// a lone trial machine times out: no vote
+	// cold trial machines time out: no vote
+	// trial machines time out: vote back on build 8 stage 1
+	// trial machines are slow: vote back on build 8 stage 1
+	// trial machines are full: vote back on build 8 stage 1
 }
 
 // After the release nothing but errors and wrong answers speak against a build: a burst has no earlier machine to be
@@ -99,6 +107,8 @@
 	}
 	f.vote(0.5, Counted)
 	// Output:
+	// vote on on build 8 stage 1
+	// vote back on build 8 stage 1
 }
 
 // The on rule: the stage's share listed, 3 s after the newest start with 20 outcomes, else 5 s; none where the clock
@@ -115,7 +125,7 @@
 	f = newFleet(nil)
 	f.trial(2, 0)
 	start = f.now
-	f.run(200, 2.9, fine)
+	f.run(600, 2.9, fine)
 	f.vote(0.1, Counted)
 	f.vote(8, Counted)
 	fmt.Println("enough outcomes, waited 3 s:", f.now-start >= 3 && f.now-start < 3.6)
@@ -125,25 +135,33 @@
 	f.run(200, 2.9, fine)
 	f.vote(8, Counted)
 	// Output:
+	// no vote
+	// vote on on build 8 stage 1
+	// few outcomes, waited 5 s: true
+	// no vote
+	// vote on on build 8 stage 1
+	// enough outcomes, waited 3 s: true
+	// no vote
 }
 
 // Under the clock a doubt holds the stage; a back vote is withdrawn when its evidence fades.
 func Example_hold() {
 	f := newFleet(func(t *Terms) { t.Automatic = true })
 	f.trial(2, 10)
-	n := 0
-	f.run(300, 4, func(_ uint32, build int) (Result, float64) {
-		if build == 8 {
-			if n++; n%12 == 0 {
-				return Errored, 0.01
-			}
+	for _, trial := range []count{{60, 3}, {60, 8}, {200, 8}, {600, 8}, {2000, 8}} {
+		for id := uint32(1); id <= 4; id++ {
+			f.b.sampleOf(id, 7).of[failed] = count{40, 0}
 		}
-		return Acked, 0.05
-	})
-	f.vote(0.5, Counted)
-	f.run(400, 4, fine)
-	f.vote(2, Counted)
+		f.b.sampleOf(11, 8).of[failed], f.b.sampleOf(12, 8).of[failed] = trial, trial
+		fmt.Print(trial, " ")
+		f.vote(1, Counted)
+	}
 	// Output:
+	// {60 3} vote hold on build 8 stage 1
+	// {60 8} vote back on build 8 stage 1
+	// {200 8} no vote
+	// {600 8} vote none on build 8 stage 1
+	// {2000 8} no vote
 }
 
 // A command that a client repeats at once is one failure, not many.
--- a/wire/host.go
+++ b/wire/host.go
@@ -172,6 +172,9 @@
 	case elapsed:
 		h.timer(x, rec.u64(5))
 	case promotion:
+		if phase := rec.u8(8); phase > uint8(policy.Withdrawn) {
+			return fmt.Errorf("unknown phase %d", phase)
+		}
 		h.promotion(x, rec)
 	case contested:
 		x.b.Flagged(h.now, rec.u32(5), rec.secs(10))
