--- a/policy/policy.go
+++ b/policy/policy.go
@@ -399,7 +399,6 @@
 			mean(&u.slow, took/b.usual[op]/size)
 		}
 		mean(&b.usual[op], took/size)
-		mean(&b.ratio, took/size/b.t.Ops[op].Target)
 	}
 	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
 		return
@@ -636,8 +635,12 @@
 			least += 2 / float64(b.t.Balancers)
 		}
 	}
+	ratio := 0.0
+	for i, op := range b.t.Ops {
+		ratio = max(ratio, b.usual[i]/op.Target)
+	}
 	switch {
-	case b.ratio > hopeful:
+	case ratio > hopeful:
 		b.limit = max(least, min(b.limit, float64(b.peak))*0.9)
 	case float64(b.peak) > 0.7*b.limit:
 		b.limit += 1 + 0.05*b.limit
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,7 +65,6 @@
 	open   int
 	peak   int
 	limit  float64
-	ratio  float64 // answer time over service target lately
 	worth  float64 // highest importance
 	hint   float64 // usual work told
 
