--- a/policy/policy.go
+++ b/policy/policy.go
@@ -398,7 +398,7 @@
 		if b.usual[op] > 0 {
 			mean(&u.slow, took/b.usual[op]/size)
 		}
-		mean(&b.usual[op], took/size)
+		mean(&b.usual[op], min(took/size, b.t.Ops[op].Target)) // a few silent units are no overload
 	}
 	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
 		return
