--- a/policy/policy.go
+++ b/policy/policy.go
@@ -391,9 +391,10 @@
 	}
 	u.fail, u.failAt = f+0.25*(v-f), now
 	sent := now - took
-	same := sent >= u.since                      // it went to this process, not to an earlier one of the id
-	warm := same && sent-u.since >= 2*b.t.WarmUp // and rid of what queued while it was cold
-	size := (1 + c.Work) / 2                     // a part of an answer's time goes with the work, a part is waiting
+	same := sent >= u.since // it went to this process, not to an earlier one of the id
+	// Warm, and rid of what queued while it was cold: the fuller the fleet, the longer that takes.
+	warm := same && sent-u.since >= b.t.WarmUp*(1+min(1, b.ratio/hopeful))
+	size := (1 + c.Work) / 2 // a part of an answer's time goes with the work, a part is waiting
 	if r == Acked || r == TimedOut {
 		if b.usual[op] > 0 {
 			mean(&u.slow, took/b.usual[op]/size)
@@ -635,12 +636,12 @@
 			least += 2 / float64(b.t.Balancers)
 		}
 	}
-	ratio := 0.0
+	b.ratio = 0
 	for i, op := range b.t.Ops {
-		ratio = max(ratio, b.usual[i]/op.Target)
+		b.ratio = max(b.ratio, b.usual[i]/op.Target)
 	}
 	switch {
-	case ratio > hopeful:
+	case b.ratio > hopeful:
 		b.limit = max(least, min(b.limit, float64(b.peak))*0.9)
 	case float64(b.peak) > 0.7*b.limit:
 		b.limit += 1 + 0.05*b.limit
--- a/policy/state.go
+++ b/policy/state.go
@@ -65,6 +65,7 @@
 	open   int
 	peak   int
 	limit  float64
+	ratio  float64 // usual answer time over target, of the op type nearest to it
 	worth  float64 // highest importance
 	hint   float64 // usual work told
 
