--- a/policy/policy.go
+++ b/policy/policy.go
@@ -467,11 +467,11 @@
 	return l
 }
 
-// excess is L over both builds' samples. A build is bad on all its machines: the machine of a side with the most
-// failures above the usual, where the side has others, is left out, so that one failing, slow or silent unit is not
-// taken for the build; with no earlier machine beside them, a quarter of the trial machines. For slowness, which
-// neighbours and queues cause on many machines, half the trial side is left out. A lone trial machine's lateness is
-// no proof at all (it may be the machine, or what queued while it was cold): the next stage has more of them.
+// excess is L over both builds' samples. A build is bad on all its machines: the sixth of a side with the most
+// failures above the usual (one at least, where the side has others) is left out, so that failing, slow or silent
+// units are not taken for the build. For slowness, which neighbours and queues cause on many machines, half the trial
+// side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while
+// it was cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
 	var side [2][]*sample
 	var sum [2]count
@@ -490,11 +490,9 @@
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
-		skip := min(1, len(list)/2)
+		skip := max(min(1, len(list)/2), (len(list)+3)/6)
 		if i == 1 && kind == slow {
 			skip = len(list) / 2
-		} else if i == 1 && kind == failed && !b.paired {
-			skip = (len(list) + 3) / 4
 		}
 		for _, s := range list[:skip] {
 			sum[i].n, sum[i].bad = sum[i].n-s.of[kind].n, sum[i].bad-s.of[kind].bad
--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -57,6 +57,7 @@
 		f.vote(1, Counted)
 	}
 	play("one trial machine fails", 2, 10, 8, bad(Errored, 0.01, 11))
+	play("two of twelve trial machines fail", 12, 10, 8, bad(Errored, 0.01, 11, 12))
 	play("one earlier machine fails", 2, 10, 8, bad(Errored, 0.01, 1))
 	play("all fail", 2, 10, 8, bad(Errored, 0.01, 1, 2, 3, 4, 11, 12))
 	play("a lone trial machine times out", 1, 10, 8, bad(TimedOut, 0.6, 11))
@@ -66,6 +67,7 @@
 	play("trial machines are full", 2, 10, 8, bad(Full, 0.01, 11, 12))
 	// Output:
 	// one trial machine fails: no vote
+	// two of twelve trial machines fail: no vote
 	// one earlier machine fails: no vote
 	// all fail: no vote
 	// a lone trial machine times out: no vote
