--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,27 +13,28 @@
 )
 
 const (
-	check     = 0.25 // s between two looks at the counts and votes
-	backNats  = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
-	leastSeen = 20.0 // trial outcomes before a back vote
-	leastBad  = 3.0  // failures among them
-	settle    = 2.0  // s after a start that go uncounted
-	onWait    = 3.0  // s after the newest trial start, with leastSeen outcomes
-	onWaitFew = 5.0  // s with fewer
-	onBlind   = 9.0  // s of a stage after which a list that does not show it is no reason to wait
-	slowMark  = 1.5  // an answer is slow above this many times the earlier build's mean
-	slack     = 1.5  // a trial answer above slack times that: a build a little slower is still good
-	lagFade   = 0.97 // what is kept of the slow answers' counts at each check: load changes with time
-	repeatIn  = 0.02 // s after a failed answer within which a like command is taken for its repeat
-	failFade  = 4.0  // s in which a unit's failures are forgotten to 1/e
-	failCost  = 12.0 // how much a unit that fails all looks more loaded
-	quick     = 0.1  // weight of a new sample in moving means
-	retryRate = 0.15 // further deliveries earned by a command
-	retryMost = 20.0
-	patience  = 3.0  // a delivery is waited for this many usual answer times before another may go
-	hopeful   = 0.45 // usual answer time over service target that the open limit steers for
-	coldPart  = 0.8  // part of the cold budget that is used
-	holdStep  = 0.02 // s until a held command asks again
+	check      = 0.25 // s between two looks at the counts and votes
+	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
+	leastSeen  = 20.0 // trial outcomes before a back vote
+	leastBad   = 3.0  // failures among them
+	settle     = 2.0  // s after a start that go uncounted
+	onWait     = 3.0  // s after the newest trial start, with leastSeen outcomes
+	onWaitFew  = 5.0  // s with fewer
+	onBlind    = 9.0  // s of a stage after which a list that does not show it is no reason to wait
+	slowMark   = 2.0  // an answer is slow above this many times the earlier build's median
+	medianStep = 0.02
+	slack      = 1.3  // a trial answer above slack times that: a build a little slower is still good
+	lagFade    = 0.97 // what is kept of the slow answers' counts at each check: load changes with time
+	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
+	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
+	failCost   = 12.0 // how much a unit that fails all looks more loaded
+	quick      = 0.1  // weight of a new sample in moving means
+	retryRate  = 0.15 // further deliveries earned by a command
+	retryMost  = 20.0
+	patience   = 3.0  // a delivery is waited for this many usual answer times before another may go
+	hopeful    = 0.45 // usual answer time over service target that the open limit steers for
+	coldPart   = 0.8  // part of the cold budget that is used
+	holdStep   = 0.02 // s until a held command asks again
 )
 
 // The kinds of failure that are counted apart, each against outcomes of its own.
@@ -429,8 +430,12 @@
 	mark := slowMark
 	if u.build == b.build {
 		mark *= slack
-	} else if r == Acked {
-		mean(&b.plain[op], took)
+	} else if b.plain[op] == 0 {
+		b.plain[op] = took
+	} else if took > b.plain[op] {
+		b.plain[op] *= 1 + medianStep // a median: slow machines of the earlier build don't move it
+	} else {
+		b.plain[op] *= 1 - medianStep
 	}
 	if b.plain[op] > 0 {
 		of[slow].add(r == Full || took > mark*b.plain[op])
