--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 	check      = 0.25 // s between two looks at the counts and votes
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
 	leastSeen  = 20.0 // trial outcomes before a back vote
+	leastPart  = 4.0  // a machine's outcomes, before it is one of several
 	leastBad   = 3.0  // failures among them
 	settle     = 2.0  // s after a start that go uncounted
 	onWait     = 3.0  // s after the newest trial start, with leastSeen outcomes
@@ -23,7 +24,7 @@
 	onBlind    = 9.0  // s of a stage after which a list that does not show it is no reason to wait
 	slowMark   = 2.0  // an answer is slow above this many times the earlier build's median
 	medianStep = 0.02
-	slack      = 1.3  // a trial answer above slack times that: a build a little slower is still good
+	slack      = 1.5  // a trial answer above slack times that: a build a little slower is still good
 	lagFade    = 0.97 // what is kept of the slow answers' counts at each check: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
@@ -472,9 +473,9 @@
 	return l
 }
 
-// excess is L over both builds' samples. A build is bad on all its machines: the sixth of a side with the most
+// excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the most
 // failures above the usual (one at least, where the side has others) is left out, so that failing, slow or silent
-// units are not taken for the build. For slowness, which neighbours and queues cause on many machines, half the trial
+// units are not taken for the build; of wrong answers, which are rare and told in part, one machine's. For slowness, which neighbours and queues cause on many machines, half the trial
 // side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while
 // it was cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
@@ -485,6 +486,9 @@
 		if s.build == b.build {
 			i = 1
 		}
+		if s.of[kind].n < leastPart {
+			continue // it says nothing yet, not even that it is well
+		}
 		side[i] = append(side[i], s)
 		sum[i].n, sum[i].bad = sum[i].n+s.of[kind].n, sum[i].bad+s.of[kind].bad
 	}
@@ -495,7 +499,10 @@
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
-		skip := max(min(1, len(list)/2), (len(list)+3)/6)
+		skip := min(1, len(list)/2)
+		if kind != wrong {
+			skip = max(skip, (len(list)+3)/4)
+		}
 		if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
