--- a/policy/policy.go
+++ b/policy/policy.go
@@ -499,11 +499,10 @@
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
-		skip := min(1, len(list)/2)
-		if kind != wrong {
-			skip = max(skip, (len(list)+3)/4)
-		}
-		if i == 1 && kind == slow {
+		skip := min(len(list)/2, (len(list)+3)/4)
+		if kind == wrong {
+			skip = min(1, skip)
+		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
 		for _, s := range list[:skip] {
--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -61,6 +61,7 @@
 	play("one earlier machine fails", 2, 10, 8, bad(Errored, 0.01, 1))
 	play("all fail", 2, 10, 8, bad(Errored, 0.01, 1, 2, 3, 4, 11, 12))
 	play("a lone trial machine times out", 1, 10, 8, bad(TimedOut, 0.6, 11))
+	play("a lone trial machine fails", 1, 10, 8, bad(Errored, 0.01, 11))
 	play("cold trial machines time out", 2, 0, 3.5, bad(TimedOut, 0.6, 11, 12))
 	play("trial machines time out", 2, 10, 8, bad(TimedOut, 0.6, 11, 12))
 	play("trial machines are slow", 2, 10, 8, bad(Acked, 0.2, 11, 12))
@@ -71,6 +72,7 @@
 	// one earlier machine fails: no vote
 	// all fail: no vote
 	// a lone trial machine times out: no vote
+	// a lone trial machine fails: vote back on build 8 stage 1
 	// cold trial machines time out: no vote
 	// trial machines time out: vote back on build 8 stage 1
 	// trial machines are slow: vote back on build 8 stage 1
