--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	patience   = 3.0  // a delivery is waited for this many usual answer times before another may go
 	hopeful    = 0.45 // usual answer time over service target that the open limit steers for
 	coldPart   = 0.8  // part of the cold budget that is used
+	hopeless   = 3.0  // times the usual work, from which a command's chances are looked at by its work
 	holdStep   = 0.02 // s until a held command asks again
 )
 
@@ -86,6 +87,10 @@
 	if outs > 0 && !b.t.Parallel {
 		return Step{Recall: b.t.Cancel}
 	}
+	// A command said to be so heavy that it can't be answered in time would only take its unit from others.
+	if c.Work > hopeless && b.usual[c.Op]*(1+c.Work)/2 > c.Came+op.Target-now {
+		return b.end(now, c, outs)
+	}
 	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
 	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is nacked.
 	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
