--- a/policy/policy.go
+++ b/policy/policy.go
@@ -197,7 +197,7 @@
 			return Step{Do: Fail}
 		}
 	}
-	return Step{Do: Nack, Pause: min(b.t.MaxPause, op.Target)}
+	return Step{Do: Nack, Pause: b.t.MaxPause}
 }
 
 // onTrial tells whether a build is on trial for this balancer. Before any news only the oldest build is not.
