--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,6 @@
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
 	failCost   = 12.0 // how much a unit that fails all looks more loaded
 	quick      = 0.1  // weight of a new sample in moving means
-	unitQuick  = 0.25 // the same for one unit, which has few
 	retryRate  = 0.15 // further deliveries earned by a command
 	retryMost  = 20.0
 	patience   = 3.0  // a delivery is waited for this many usual answer times before another may go
@@ -307,6 +306,9 @@
 // forgets with time so that each is tried again.
 func (b *Balancer) cost(now float64, u *unit, work float64) float64 {
 	slow := max(u.slow, 0.2)
+	if u.slow == 0 {
+		slow = 1
+	}
 	if m := b.meanUsual(); u.open > 0 && m > 0 {
 		slow = max(slow, (now-u.heard)/(2*m))
 	}
@@ -402,7 +404,7 @@
 	size := (1 + c.Work) / 2 // a part of an answer's time goes with the work, a part is waiting
 	if r == Acked || r == TimedOut {
 		if b.usual[op] > 0 {
-			u.slow += unitQuick * (took/b.usual[op]/size - u.slow)
+			mean(&u.slow, took/b.usual[op]/size)
 		}
 		mean(&b.usual[op], min(took/size, b.t.Ops[op].Target)) // a few silent units are no overload
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -131,13 +131,13 @@
 func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
 	u := b.byID[id]
 	if u == nil {
-		u = &unit{id: id, before: build, build: build, since: since, slow: 1}
+		u = &unit{id: id, before: build, build: build, since: since}
 		b.byID[id] = u
 		b.units = append(b.units, u)
 		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
 	}
 	if since != u.since || build != u.build {
-		u.before, u.fail, u.slow, u.sent = u.build, 0, 1, nil
+		u.before, u.fail, u.slow, u.sent = u.build, 0, 0, nil
 	}
 	if heft <= 0 {
 		heft = 1
