--- a/policy/api.go
+++ b/policy/api.go
@@ -28,6 +28,9 @@
 	Automatic   bool      // the clock moves stages, votes only hold or send back
 	Replace     bool      // earlier machines go as their successors come
 	StageTime   float64   // under Automatic
+	HarmPrice   float64   // of worth in wrong answers, against StalePrice for worth served by an old build
+	StalePrice  float64
+	Reported    float64 // share of wrong answers that is flagged
 	VoteLife    float64
 	VoteTimeout float64
 	VoteRate    float64 // votes a second, all balancers together
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -518,7 +518,13 @@
 	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
-	return nats(sum[0], sum[1]) / spread(side[0], kind, sum[0])
+	l := nats(sum[0], sum[1]) / spread(side[0], kind, sum[0])
+	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to send a
+	// good build back, the surer the vote has to be.
+	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
+		l -= max(0, math.Log(b.t.StalePrice/(b.t.HarmPrice*more/b.t.Reported)))
+	}
+	return l
 }
 
 // spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -16,7 +16,7 @@
 	fmt.Println(holds > 0, s, "ahead of the time-out:", f.now < c.Due, "not before the target:", f.now-start >= 0.3)
 	fmt.Println("then:", f.pick(c))
 	// Output:
-	// true nack, back in 0.3 s ahead of the time-out: true not before the target: true
+	// true nack, back in 1.0 s ahead of the time-out: true not before the target: true
 	// then: nothing
 }
 
@@ -214,5 +214,5 @@
 	fmt.Println("redeliverable, importance 2:", steps[0])
 	// Output:
 	// at-most-once, importance 5: hold with 6 open
-	// redeliverable, importance 2: nack, back in 0.3 s with 5 open
+	// redeliverable, importance 2: nack, back in 1.0 s with 5 open
 }
