--- a/policy/policy.go
+++ b/policy/policy.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	check      = 0.25 // s between two looks at the counts and votes
+	check      = 0.1  // s between two looks at the counts and votes
+	steerIn    = 0.25 // s between two changes of the open limit
+	voteAgain  = 0.5  // s until a vote that did not count is cast again
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
 	leastSeen  = 20.0 // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
@@ -25,7 +27,7 @@
 	slowMark   = 2.0  // an answer is slow above this many times the earlier build's median
 	medianStep = 0.02
 	slack      = 1.5  // a trial answer above slack times that: a build a little slower is still good
-	lagFade    = 0.97 // what is kept of the slow answers' counts at each check: load changes with time
+	lagFade    = 0.97 // what is kept of the slow answers' counts at each steering: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
 	failCost   = 12.0 // how much a unit that fails all looks more loaded
@@ -565,7 +567,7 @@
 	if r == Counted {
 		b.standing, b.votedAt = b.asked, b.callAt
 	} else {
-		b.mute = now + 2*check
+		b.mute = now + voteAgain
 	}
 }
 
@@ -618,14 +620,17 @@
 // Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this balancer's vote.
 func (b *Balancer) Wait(now float64) Turn {
 	t := Turn{In: check}
-	b.steer()
-	for _, s := range b.samples {
-		s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
+	if now-b.steeredAt >= steerIn-b.t.Round {
+		b.steeredAt = now
+		b.steer()
+		for _, s := range b.samples {
+			s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
+		}
 	}
 	if b.t.Ask && !b.watching && now-b.watchAt >= 1 {
 		t.Subscribe, b.watchAt = true, now
 	}
-	if b.calling && now-b.callAt > b.t.VoteTimeout+4*check {
+	if b.calling && now-b.callAt > b.t.VoteTimeout+2*voteAgain {
 		b.calling = false
 	}
 	want := vote{b.build, b.stage, b.verdict(now)}
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,6 +70,7 @@
 	hint   float64 // usual work told
 
 	votedAt, callAt float64
+	steeredAt       float64
 	standing, asked vote
 	calling         bool
 	mute            float64
