--- a/policy/policy.go
+++ b/policy/policy.go
@@ -482,7 +482,8 @@
 
 // excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the most
 // failures above the usual (one at least, where the side has others) is left out, so that failing, slow or silent
-// units are not taken for the build; of wrong answers, which are rare and told in part, one machine's. For slowness, which neighbours and queues cause on many machines, half the trial
+// units are not taken for the build; of wrong answers, which are rare and told in part, only
+// a machine that gives more than half of them. For slowness, which neighbours and queues cause on many machines, half the trial
 // side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while
 // it was cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
@@ -507,7 +508,9 @@
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(len(list)/2, (len(list)+3)/4)
-		if kind == wrong {
+		if kind == wrong && len(list) > 0 && 2*list[0].of[kind].bad <= sum[i].bad {
+			skip = 0
+		} else if kind == wrong {
 			skip = min(1, skip)
 		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -200,6 +200,7 @@
 	f.run(300, 3, func(uint32, int) (Result, float64) { return Acked, 0.25 })
 	for i := 0; i < 20; i++ {
 		f.b.Wait(f.now)
+		f.now += 0.25
 	}
 	steps := [3]string{}
 	for i := 0; i < 30; i++ {
