--- a/policy/policy.go
+++ b/policy/policy.go
@@ -533,20 +533,18 @@
 }
 
 // spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
-// machines differ among themselves, against what chance alone gives (a median of 0.455 for 2L). Queues, bursts and
-// machines of unlike speed make failures come in clumps; a few failing machines don't move the median.
+// machines differ among themselves against what chance gives (Pearson's statistic over its degrees of freedom).
+// Queues, bursts and machines of unlike speed make failures come in clumps.
 func spread(list []*sample, kind int, sum count) float64 {
-	var twice []float64
+	p, x2 := sum.bad/max(1, sum.n), 0.0
 	for _, s := range list {
-		if c := s.of[kind]; c.n >= leastSeen {
-			twice = append(twice, 2*math.Abs(nats(count{sum.n - c.n, sum.bad - c.bad}, c)))
-		}
+		c := s.of[kind]
+		x2 += (c.bad - c.n*p) * (c.bad - c.n*p) / (c.n * p * (1 - p))
 	}
-	if len(twice) == 0 {
+	if p <= 0 || p >= 1 || len(list) < 2 {
 		return 1
 	}
-	sort.Float64s(twice)
-	return max(1, twice[len(twice)/2]/0.455)
+	return max(1, x2/float64(len(list)-1))
 }
 
 // Stage is news of the newest build.
