--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 const (
 	wrong  = iota // flagged answers
 	failed        // errors, resets
-	lost          // these, failed connections, time-outs
+	lost          // failed connections, time-outs
 	slow          // answers of warm machines that took far longer than usual, and commands they had no room for
 	kinds
 )
@@ -427,7 +427,7 @@
 	}
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
 	if r != Full && (r != TimedOut || warm) {
-		of[lost].add(bad)
+		of[lost].add(r == TimedOut || r == Unconnected)
 	}
 	if !warm {
 		return
