--- a/policy/policy.go
+++ b/policy/policy.go
@@ -291,7 +291,10 @@
 	}
 	var best *unit
 	var least float64
-	for try := 0; try < 4 && (try < 2 || best == nil); try++ {
+	// Where both fail about every other delivery, two more are drawn: half of a stale list may be gone. Not among
+	// trial machines, which must be seen to fail.
+	again := func() bool { return best == nil || !b.onTrial(best.build) && b.failing(now, best) > 0.5 }
+	for try := 0; try < 4 && (try < 2 || again()); try++ {
 		u := group[int(b.chance()*float64(len(group)))]
 		if !b.warmEnough(now, c, u) {
 			continue
@@ -558,7 +561,7 @@
 		clear(b.answered)
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
-	b.pair()
+	b.pair(now)
 }
 
 // VoteAnswered is what became of the vote last cast.
@@ -626,6 +629,7 @@
 	if now-b.steeredAt >= steerIn-b.t.Round {
 		b.steeredAt = now
 		b.steer()
+		b.pair(now)
 		for _, s := range b.samples {
 			s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
 		}
@@ -682,15 +686,15 @@
 	for _, u := range b.units {
 		u.ready = u.ready && u.known
 	}
-	b.pair()
+	b.pair(now)
 }
 
 // pair tells from list and news, whichever came last, whether both builds run side by side.
-func (b *Balancer) pair() {
+func (b *Balancer) pair(now float64) {
 	trial, old := false, false
 	for _, u := range b.units {
 		trial = trial || u.ready && u.build == b.build
-		old = old || u.ready && u.build < b.build
+		old = old || u.ready && u.build < b.build && b.failing(now, u) <= 0.5 // not one a stale list only names
 	}
 	b.paired = trial && old
 }
