--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,7 +484,7 @@
 }
 
 // excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the most
-// failures above the usual (never more than half; two of few for errors) is left out, so that failing, slow or silent
+// failures above the usual (never more than half; for errors two, where others remain) is left out, so that failing, slow or silent
 // units are not taken for the build; of wrong answers, which are rare and told in part, only
 // a machine that gives more than half of them. For slowness, which neighbours and queues cause on many machines, half the trial
 // side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while
@@ -512,7 +512,7 @@
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(len(list)/2, (len(list)+3)/4)
 		if kind == failed {
-			skip = min(len(list)/2, max(2, skip))
+			skip = min(max(0, len(list)-1), max(2, skip))
 		} else if kind == wrong && len(list) > 0 && 2*list[0].of[kind].bad <= sum[i].bad {
 			skip = 0
 		} else if kind == wrong {
