--- a/policy/api.go
+++ b/policy/api.go
@@ -11,9 +11,7 @@
 	Parallel    bool // two deliveries of a command may be out together
 	Cancel      bool // a delivery may be called off
 	MaxPause    float64
-	Deliveries  int  // most deliveries of one command
-	Reuse       bool // a connection carries one delivery at a time and costs something to open
-	Grace       float64
+	Deliveries  int // most deliveries of one command
 	ColdFrom    float64
 	WarmUp      float64
 	FallFactor  float64
@@ -27,7 +25,6 @@
 	OneWay      bool      // a key that a new build answered never goes to an earlier one
 	Automatic   bool      // the clock moves stages, votes only hold or send back
 	Replace     bool      // earlier machines go as their successors come
-	StageTime   float64   // under Automatic
 	HarmPrice   float64   // of worth in wrong answers, against StalePrice for worth served by an old build
 	StalePrice  float64
 	Reported    float64 // share of wrong answers that is flagged
@@ -57,7 +54,6 @@
 type OpType struct {
 	Target     float64 // service target
 	Importance float64
-	Late       float64 // part of the importance that an answer after the target still earns
 	Effect     Effect
 	Group      Group
 	Window     float64 // how long repeats are recognised
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -29,7 +29,7 @@
 			{Target: 0.3, Importance: 2, Effect: Deduplicated, Window: 1},
 			{Target: 0.3, Importance: 5, Effect: AtMostOnce},
 		},
-		Grace: 1, ColdFrom: 0.4, WarmUp: 4, FallFactor: 3, FallTime: 2, Window: 4, Free: 2,
+		ColdFrom: 0.4, WarmUp: 4, FallFactor: 3, FallTime: 2, Window: 4, Free: 2,
 		Caps: []float64{0.1, 0.5, 1}, Stages: []float64{0.1, 0.5, 1}, HarmPrice: 3, StalePrice: 0.5, Reported: 0.2,
 		VoteLife: 10, VoteTimeout: 1, VoteRate: 20,
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,8 +1,8 @@
-// The module's decisions, all of them. A caller makes one Balancer for each instance (New), tells it what it hears
-// (ListStart, Listed, ListEnd, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where to send a
-// command (Pick), what to do after an outcome (After), how long to wait and what to vote meanwhile (Wait).
-// The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here reads a clock,
-// starts a goroutine or knows a name; equal calls give equal answers.
+// The module's decisions, all of them. A caller makes one Balancer for each instance (New), tells it what it
+// hears (ListStart, Listed, ListEnd, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where
+// to send a command (Pick), what to do after an outcome (After), how long to wait and what to vote meanwhile
+// (Wait). The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here
+// reads a clock, starts a goroutine or knows a name; equal calls give equal answers.
 
 package policy
 
@@ -46,7 +46,7 @@
 	wrong  = iota // flagged answers
 	failed        // errors, resets
 	lost          // failed connections, time-outs
-	slow          // answers of warm machines that took far longer than usual, and commands they had no room for
+	slow          // answers far later than usual, and no room, of warm machines
 	kinds
 )
 
@@ -63,8 +63,8 @@
 	return b
 }
 
-// Pick says where to send a command, or not yet, or never. It is asked when a command comes, when a step's Again
-// is reached, and by After.
+// Pick says where to send a command, or not yet, or never. It is asked when a command comes, when a step's
+// Again is reached, and by After.
 func (b *Balancer) Pick(now float64, c *Command) Step {
 	op := &b.t.Ops[c.Op]
 	if c.Ended || c.Begun {
@@ -83,7 +83,8 @@
 		return Step{Again: now + b.patience(c)}
 	}
 	further := len(c.Sent) > 0
-	if now >= c.Due-2*b.t.Round || now-c.Came >= op.Target || !b.mayRepeat(now, c) || further && b.tokens < 1 {
+	over := now >= c.Due-2*b.t.Round || now-c.Came >= op.Target
+	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 {
 		return b.end(now, c, outs)
 	}
 	if outs > 0 && !b.t.Parallel {
@@ -94,7 +95,8 @@
 		return b.end(now, c, outs)
 	}
 	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
-	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is nacked.
+	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is
+	// nacked.
 	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
 		if now-c.Came+2*b.usual[c.Op] > op.Target {
 			return b.end(now, c, outs)
@@ -116,7 +118,6 @@
 	}
 	u.open++
 	u.work += c.Work
-	u.most = max(u.most, u.open)
 	b.open++
 	b.peak = max(b.peak, b.open)
 	if b.onTrial(u.build) {
@@ -141,8 +142,8 @@
 	return patience * b.usual[c.Op] * max(1, c.Work)
 }
 
-// silent tells whether what is out has met a unit that has answered nothing since: a silent, stuck or far slower
-// unit, not a command that takes long.
+// silent tells whether what is out has met a unit that has answered nothing since: a silent, stuck or far
+// slower unit, not a command that takes long.
 func (b *Balancer) silent(now float64, c *Command) bool {
 	for _, d := range c.Sent {
 		if u := b.byID[d.Unit]; d.Out && (u.heard > d.At || now < d.At+b.patience(c)-1e-6) {
@@ -185,8 +186,8 @@
 	return true
 }
 
-// end gives a command its final answer at once: a nack where a retry is harmless, else a failure. While a delivery
-// is out that may still be acked in time, there is nothing to say.
+// end gives a command its final answer at once: a nack where a retry is harmless, else a failure. While a
+// delivery is out that may still be acked in time, there is nothing to say.
 func (b *Balancer) end(now float64, c *Command, outs int) Step {
 	if outs > 0 {
 		return Step{}
@@ -252,7 +253,8 @@
 			heft += w
 		}
 	}
-	// A build this balancer has voted back gets nothing more while there is another that can take the command.
+	// A build this balancer has voted back gets nothing more while there is another that can take the
+	// command.
 	if len(old) > 0 && (len(trial) == 0 || b.standing.verdict == VoteBack && b.standing.build == b.build ||
 		b.chance() >= trialHeft/(trialHeft+heft)) {
 		trial = nil
@@ -291,8 +293,8 @@
 	}
 	var best *unit
 	var least float64
-	// Where both fail about every other delivery, two more are drawn: half of a stale list may be gone. Not among
-	// trial machines, which must be seen to fail.
+	// Where both fail about every other delivery, two more are drawn: half of a stale list may be gone. Not
+	// among trial machines, which must be seen to fail.
 	again := func() bool { return best == nil || !b.onTrial(best.build) && b.failing(now, best) > 0.5 }
 	for try := 0; try < 4 && (try < 2 || again()); try++ {
 		u := group[int(b.chance()*float64(len(group)))]
@@ -306,9 +308,9 @@
 	return best
 }
 
-// cost is how loaded a unit looks from here: own work out and to come, how slowly it answers, how long it has been silent
-// and how often it failed lately. It answers slow, silent and fast-failing units alike, whatever the cause, and
-// forgets with time so that each is tried again.
+// cost is how loaded a unit looks from here: own work out and to come, how slowly it answers, how long it has
+// been silent and how often it failed lately. It answers slow, silent and fast-failing units alike, whatever
+// the cause, and forgets with time so that each is tried again.
 func (b *Balancer) cost(now float64, u *unit, work float64) float64 {
 	slow := max(u.slow, 0.2)
 	if u.slow == 0 {
@@ -340,8 +342,8 @@
 	return b.t.ColdFrom + (1-b.t.ColdFrom)*max(0, now-u.since)/b.t.WarmUp
 }
 
-// warmEnough is rule 4: this balancer's part of what a cold unit may be sent, measured by what a warm unit is sent
-// from here when all are alike.
+// warmEnough is rule 4: this balancer's part of what a cold unit may be sent, measured by what a warm unit is
+// sent from here when all are alike.
 func (b *Balancer) warmEnough(now float64, c *Command, u *unit) bool {
 	r := b.ramp(now, u)
 	if r >= 1 {
@@ -423,12 +425,13 @@
 	if r != TimedOut && r != Full && r != Unconnected {
 		of[failed].add(bad)
 	}
-	// Without earlier machines beside it, a burst, a slow fleet or vanished machines meet the trial build alone, and
-	// its lateness is no comparison. Errors and wrong answers still are.
+	// Without earlier machines beside it, a burst, a slow fleet or vanished machines meet the trial build
+	// alone, and its lateness is no comparison. Errors and wrong answers still are.
 	if !b.paired {
 		return
 	}
-	// Cold machines that start together time out past the first seconds: their lateness says nothing of the build.
+	// Cold machines that start together time out past the first seconds: their lateness says nothing of the
+	// build.
 	if r != Full && (r != TimedOut || warm) {
 		of[lost].add(r == TimedOut || r == Unconnected)
 	}
@@ -483,12 +486,12 @@
 	return l
 }
 
-// excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the most
-// failures above the usual (never more than half; for errors two, where others remain) is left out, so that failing, slow or silent
-// units are not taken for the build; of wrong answers, which are rare and told in part, only
-// a machine that gives more than half of them. For slowness, which neighbours and queues cause on many machines, half the trial
-// side is left out. A lone trial machine's lateness is no proof at all (it may be the machine, or what queued while
-// it was cold): the next stage has more of them.
+// excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the
+// most failures above the usual (never more than half; for errors two, where others remain) is left out, so
+// that failing, slow or silent units are not taken for the build; of wrong answers, which are rare and told
+// in part, only a machine that gives more than half of them. For slowness, which neighbours and queues cause
+// on many machines, half the trial side is left out. A lone trial machine's lateness is no proof at all (it
+// may be the machine, or what queued while it was cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
 	var side [2][]*sample
 	var sum [2]count
@@ -529,17 +532,17 @@
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / spread(side[0], kind, sum[0])
-	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to send a
-	// good build back, the surer the vote has to be.
+	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to
+	// send a good build back, the surer the vote has to be.
 	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
 		l -= max(0, math.Log(b.t.StalePrice/(b.t.HarmPrice*more/b.t.Reported)))
 	}
 	return l
 }
 
-// spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier build's
-// machines differ among themselves against what chance gives (Pearson's statistic over its degrees of freedom).
-// Queues, bursts and machines of unlike speed make failures come in clumps.
+// spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier
+// build's machines differ among themselves against what chance gives (Pearson's statistic over its degrees of
+// freedom). Queues, bursts and machines of unlike speed make failures come in clumps.
 func spread(list []*sample, kind int, sum count) float64 {
 	p, x2 := sum.bad/max(1, sum.n), 0.0
 	for _, s := range list {
@@ -610,7 +613,8 @@
 			seen += s.of[lost].n
 		}
 	}
-	if n < math.Floor(places*b.t.Stages[min(b.stage, len(b.t.Stages)-1)]+0.5) && now-b.stageAt < onBlind || n == 0 {
+	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
+	if n < math.Floor(places*share+0.5) && now-b.stageAt < onBlind || n == 0 {
 		return VoteNone
 	}
 	wait := onWaitFew
@@ -623,7 +627,8 @@
 	return VoteOn
 }
 
-// Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this balancer's vote.
+// Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this
+// balancer's vote.
 func (b *Balancer) Wait(now float64) Turn {
 	t := Turn{In: check}
 	if now-b.steeredAt >= steerIn-b.t.Round {
@@ -659,8 +664,8 @@
 	return t
 }
 
-// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets alike. The
-// bound stays above this balancer's even part of two deliveries a unit: below that a fleet idles.
+// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets
+// alike. The bound stays above this balancer's even part of two deliveries a unit: below that a fleet idles.
 func (b *Balancer) steer() {
 	least := 2.0
 	for _, u := range b.units {
@@ -691,10 +696,11 @@
 
 // pair tells from list and news, whichever came last, whether both builds run side by side.
 func (b *Balancer) pair(now float64) {
+	// A machine that a stale list only names answers nothing: it is no company.
 	trial, old := false, false
 	for _, u := range b.units {
 		trial = trial || u.ready && u.build == b.build
-		old = old || u.ready && u.build < b.build && b.failing(now, u) <= 0.5 // not one a stale list only names
+		old = old || u.ready && u.build < b.build && b.failing(now, u) <= 0.5
 	}
 	b.paired = trial && old
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -20,7 +20,6 @@
 	heard        float64 // last answer, or first delivery since none was out
 	fail, failAt float64 // share of failures lately, fading
 	slow         float64 // answer time over the usual
-	most         int     // most deliveries out at once: connections held
 	sent         []load  // while cold: own deliveries within the fall time
 }
 
@@ -44,7 +43,6 @@
 
 	units  []*unit // by id
 	byID   map[uint32]*unit
-	full   bool
 	paired bool // machines of both builds run side by side
 
 	told     bool // the stage is known
@@ -122,7 +120,7 @@
 
 // ListStart begins a list; full names every unit there is, else only changes follow.
 func (b *Balancer) ListStart(full bool) {
-	b.full, b.watching = full, true
+	b.watching = true
 	for _, u := range b.units {
 		u.known = !full
 	}
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -9,13 +9,13 @@
 )
 
 const terms = "balancers=1\nround=5\ndiscovery=push\npolicy_limits.parallel_tries=false\npolicy_limits.may_cancel=true\n" +
-	"policy_limits.max_retry_after=1000\npolicy_limits.send_cap=3\nrules.stop_sending_within=1000\nrules.cold_from=0.3\n" +
+	"policy_limits.max_retry_after=1000\npolicy_limits.send_cap=3\nrules.cold_from=0.3\n" +
 	"rules.warm_up=4000\nrules.fall_multiple=3\nrules.fall=2000\nfamily_info.window=4000\nfamily_info.spare_tries=1\n" +
 	"family_info.exposure_caps=0.1,1.0\nfamily_info.waves=0.1,1.0\nfamily_info.counts=all\nfamily_info.shielded=0\n" +
 	"family_info.forward_only=false\nfamily_info.gate_mode=by_count\nfamily_info.replace_mode=replace\n" +
 	"family_info.harm_fee=3\nfamily_info.stale_build_price=0.5\nfamily_info.reported_share=0.2\n" +
-	"family_info.auto_after=0\nfamily_info.vote_life=10000\nfamily_info.api_timeout=800\nfamily_info.votes_per_s=10\n" +
-	"unheard.of=1\nclasses.count=1\nclasses.0.aim=300\nclasses.0.value=1\nclasses.0.late_value=0\n" +
+	"family_info.vote_life=10000\nfamily_info.api_timeout=800\nfamily_info.votes_per_s=10\n" +
+	"unheard.of=1\nclasses.count=1\nclasses.0.aim=300\nclasses.0.value=1\n" +
 	"classes.0.semantics=unsafe\nclasses.0.group=all\nclasses.0.key_ttl=0\n"
 
 // rec makes an event: its code, its instance (not for a table) and further fields by offset.
@@ -94,12 +94,12 @@
 	}
 	// Output:
 	// frame cut off in its length
-	// frame of 930 bytes cut off
-	// frame of 930 bytes cut off
+	// frame of 851 bytes cut off
+	// frame of 851 bytes cut off
 	// frame of 4294967295 bytes
 	// frame of 20 bytes holds no 1 records
 	// unknown event code 3
-	// tail reference 0+870 outside a tail of 0 bytes
+	// tail reference 0+791 outside a tail of 0 bytes
 	// setting rules.fall is missing
 	// setting family_info.window is no number: "four"
 	// unknown class 7
--- a/wire/terms.go
+++ b/wire/terms.go
@@ -77,7 +77,6 @@
 		Cancel:      r.flag("policy_limits.may_cancel"),
 		MaxPause:    r.secs("policy_limits.max_retry_after"),
 		Deliveries:  int(r.num("policy_limits.send_cap")),
-		Grace:       r.secs("rules.stop_sending_within"),
 		ColdFrom:    r.num("rules.cold_from"),
 		WarmUp:      r.secs("rules.warm_up"),
 		FallFactor:  r.num("rules.fall_multiple"),
@@ -91,7 +90,6 @@
 		OneWay:      r.flag(fam + "forward_only"),
 		Automatic:   r.word(fam+"gate_mode", "first_voice", "by_count", "automatic") == 2,
 		Replace:     r.word(fam+"replace_mode", "parallel", "replace") == 1,
-		StageTime:   r.secs(fam + "auto_after"),
 		HarmPrice:   r.num(fam + "harm_fee"),
 		StalePrice:  r.num(fam + "stale_build_price"),
 		Reported:    r.num(fam + "reported_share"),
@@ -105,7 +103,6 @@
 		t.Ops = append(t.Ops, policy.OpType{
 			Target:     r.secs(p + "aim"),
 			Importance: r.num(p + "value"),
-			Late:       r.num(p + "late_value"),
 			Effect:     policy.Effect(r.word(p+"semantics", "safe", "keyed", "unsafe")),
 			Group:      policy.Group(r.word(p+"group", "all", "zone", "cell")),
 			Window:     r.secs(p + "key_ttl"),
