--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,8 @@
 		return Step{Again: now + b.patience(c)}
 	}
 	further := len(c.Sent) > 0
-	over := now >= c.Due-2*b.t.Round || now-c.Came >= op.Target
+	// Half a round early: a hair before the end a held command would be asked about at the same moment for ever.
+	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target
 	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 {
 		return b.end(now, c, outs)
 	}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -15,9 +15,12 @@
 	}
 	fmt.Println(holds > 0, s, "ahead of the time-out:", f.now < c.Due, "not before the target:", f.now-start >= 0.3)
 	fmt.Println("then:", f.pick(c))
+	// A hair before the end there is no asking again at the same moment.
+	fmt.Println(f.pick(&Command{ID: 99, Came: f.now - 0.1, Due: f.now + 2*f.b.t.Round + 1e-10}))
 	// Output:
 	// true nack, back in 1.0 s ahead of the time-out: true not before the target: true
 	// then: nothing
+	// nack, back in 1.0 s
 }
 
 // Rule 2: what may follow each outcome, by effect.
--- a/wire/host.go
+++ b/wire/host.go
@@ -282,7 +282,7 @@
 		return // overtaken by an earlier one
 	}
 	x.dueAt = 0
-	for len(x.dues) > 0 && x.dues[0].at <= h.now+1e-9 {
+	for n := len(x.dues); n > 0 && len(x.dues) > 0 && x.dues[0].at <= h.now+1e-9; n-- {
 		c := heap.Pop(&x.dues).(due).cmd
 		if !c.Ended {
 			h.apply(x, c, x.b.Pick(h.now, c))
