--- a/policy/policy.go
+++ b/policy/policy.go
@@ -615,7 +615,7 @@
 		}
 	}
 	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
-	if n < math.Floor(places*share+0.5) && now-b.stageAt < onBlind || n == 0 {
+	if n < math.Ceil(places*share-1e-6) && now-b.stageAt < onBlind || n == 0 {
 		return VoteNone
 	}
 	wait := onWaitFew
