--- a/policy/policy.go
+++ b/policy/policy.go
@@ -510,7 +510,7 @@
 	if kind >= lost && len(side[1]) < 2 {
 		return 0
 	}
-	usual := sum[0].bad / max(1, sum[0].n)
+	usual, whole := sum[0].bad/max(1, sum[0].n), sum[1]
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
@@ -529,6 +529,10 @@
 		}
 		side[i] = list[skip:]
 	}
+	// Where the rest fails about as much, the errors are the build's: no outcome need be left out.
+	if kind == failed && 4*sum[1].bad*whole.n >= whole.bad*sum[1].n {
+		sum[1] = whole
+	}
 	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
