--- a/policy/policy.go
+++ b/policy/policy.go
@@ -529,8 +529,10 @@
 		}
 		side[i] = list[skip:]
 	}
-	// Where the rest fails about as much, the errors are the build's: no outcome need be left out.
-	if kind == failed && 4*sum[1].bad*whole.n >= whole.bad*sum[1].n {
+	// Errors are the build's where the rest fails about as much: then all count. Else they are some machines' own.
+	if kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n {
+		return 0
+	} else if kind == failed {
 		sum[1] = whole
 	}
 	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
