--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,7 +83,7 @@
 		return Step{Again: now + b.patience(c)}
 	}
 	further := len(c.Sent) > 0
-	// Half a round early: a hair before the end a held command would be asked about at the same moment for ever.
+	// Half a round early: a hair before the end a held command would be asked about for ever.
 	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target
 	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 {
 		return b.end(now, c, outs)
@@ -529,7 +529,7 @@
 		}
 		side[i] = list[skip:]
 	}
-	// Errors are the build's where the rest fails about as much: then all count. Else they are some machines' own.
+	// Errors are the build's where the rest fails about as much: then all count. Else they are machines' own.
 	if kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n {
 		return 0
 	} else if kind == failed {
@@ -660,10 +660,8 @@
 	stands := b.standing.verdict != VoteNone && now-b.votedAt < b.t.VoteLife
 	fresh := stands && now-b.votedAt < b.t.VoteLife/2
 	if want.verdict == VoteNone && (!stands || b.standing.build != b.build || b.standing.verdict == VoteOn) ||
-		want == b.standing && fresh || over || b.calling || now < b.mute {
-		return t
-	}
-	if now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
+		want == b.standing && fresh || over || b.calling || now < b.mute ||
+		now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
 		return t
 	}
 	b.asked, b.callAt, b.calling = want, now, true
