--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,8 +44,8 @@
 // The kinds of failure that are counted apart, each against outcomes of its own.
 const (
 	wrong  = iota // flagged answers
-	failed        // errors, resets
-	lost          // failed connections, time-outs
+	failed        // errors
+	lost          // broken and failed connections, time-outs
 	slow          // answers far later than usual, and no room, of warm machines
 	kinds
 )
@@ -423,7 +423,7 @@
 	if r == Acked {
 		of[wrong].add(false)
 	}
-	if r != TimedOut && r != Full && r != Unconnected {
+	if r == Acked || r == Errored {
 		of[failed].add(bad)
 	}
 	// Without earlier machines beside it, a burst, a slow fleet or vanished machines meet the trial build
@@ -434,7 +434,7 @@
 	// Cold machines that start together time out past the first seconds: their lateness says nothing of the
 	// build.
 	if r != Full && (r != TimedOut || warm) {
-		of[lost].add(r == TimedOut || r == Unconnected)
+		of[lost].add(bad && r != Errored)
 	}
 	if !warm {
 		return
