--- a/policy/api.go
+++ b/policy/api.go
@@ -4,6 +4,7 @@
 // Terms holds what a deployment tells a balancer at its start, as far as the module reads it.
 type Terms struct {
 	Balancers int
+	BackVotes int     // that send a build back
 	Round     float64 // shortest gap between two moments at which the balancer acts
 	Ops       []OpType
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,7 +17,7 @@
 	steerIn    = 0.25 // s between two changes of the open limit
 	voteAgain  = 0.5  // s until a vote that did not count is cast again
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
-	leastSeen  = 20.0 // trial outcomes before a back vote
+	leastSeen  = 8.0  // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
 	leastBad   = 3.0  // failures among them
 	settle     = 2.0  // s after a start that go uncounted
@@ -436,10 +436,7 @@
 	if r != Full && (r != TimedOut || warm) {
 		of[lost].add(bad && r != Errored)
 	}
-	if !warm {
-		return
-	}
-	if r != Acked && r != TimedOut && r != Full {
+	if !warm || r != Acked && r != TimedOut && r != Full {
 		return
 	}
 	mark := slowMark
@@ -494,38 +491,43 @@
 // on many machines, half the trial side is left out. A lone trial machine's lateness is no proof at all (it
 // may be the machine, or what queued while it was cold): the next stage has more of them.
 func (b *Balancer) excess(kind int) float64 {
-	var side [2][]*sample
-	var sum [2]count
+	var side [2][]count
+	var sum, few [2]count
 	for _, s := range b.samples {
 		i := 0
 		if s.build == b.build {
 			i = 1
 		}
-		if s.of[kind].n < leastPart {
-			continue // it says nothing yet, not even that it is well
+		c := s.of[kind]
+		if c.n < leastPart { // met too seldom to be told apart: such machines count together
+			few[i].n, few[i].bad = few[i].n+c.n, few[i].bad+c.bad
+			if c = few[i]; c.n < leastPart {
+				continue
+			}
+			few[i] = count{}
 		}
-		side[i] = append(side[i], s)
-		sum[i].n, sum[i].bad = sum[i].n+s.of[kind].n, sum[i].bad+s.of[kind].bad
+		side[i] = append(side[i], c)
+		sum[i].n, sum[i].bad = sum[i].n+c.n, sum[i].bad+c.bad
 	}
 	if kind >= lost && len(side[1]) < 2 {
 		return 0
 	}
 	usual, whole := sum[0].bad/max(1, sum[0].n), sum[1]
 	for i, list := range side {
-		over := func(j int) float64 { return list[j].of[kind].bad - list[j].of[kind].n*usual }
+		over := func(j int) float64 { return list[j].bad - list[j].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
 		skip := min(len(list)/2, (len(list)+3)/4)
 		if kind == failed {
 			skip = min(max(0, len(list)-1), max(2, skip))
-		} else if kind == wrong && len(list) > 0 && 2*list[0].of[kind].bad <= sum[i].bad {
+		} else if kind == wrong && len(list) > 0 && 2*list[0].bad <= sum[i].bad {
 			skip = 0
 		} else if kind == wrong {
 			skip = min(1, skip)
 		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
-		for _, s := range list[:skip] {
-			sum[i].n, sum[i].bad = sum[i].n-s.of[kind].n, sum[i].bad-s.of[kind].bad
+		for _, c := range list[:skip] {
+			sum[i].n, sum[i].bad = sum[i].n-c.n, sum[i].bad-c.bad
 		}
 		side[i] = list[skip:]
 	}
@@ -538,7 +540,7 @@
 	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
-	l := nats(sum[0], sum[1]) / spread(side[0], kind, sum[0])
+	l := nats(sum[0], sum[1]) / spread(side[0], sum[0])
 	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to
 	// send a good build back, the surer the vote has to be.
 	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
@@ -550,10 +552,9 @@
 // spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier
 // build's machines differ among themselves against what chance gives (Pearson's statistic over its degrees of
 // freedom). Queues, bursts and machines of unlike speed make failures come in clumps.
-func spread(list []*sample, kind int, sum count) float64 {
+func spread(list []count, sum count) float64 {
 	p, x2 := sum.bad/max(1, sum.n), 0.0
-	for _, s := range list {
-		c := s.of[kind]
+	for _, c := range list {
 		x2 += (c.bad - c.n*p) * (c.bad - c.n*p) / (c.n * p * (1 - p))
 	}
 	if p <= 0 || p >= 1 || len(list) < 2 {
@@ -593,16 +594,16 @@
 		return VoteNone
 	}
 	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow))
-	line := backNats + math.Log(float64(b.t.Balancers))
+	// ln(balancers) guards against the one of many that crosses by chance. Where a build goes back on several
+	// votes, as many have to cross by chance: the balancers share that guard.
+	line := backNats + math.Log(float64(b.t.Balancers)/float64(max(1, b.t.BackVotes)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
 	case l >= line || kept && (!b.t.Automatic || l > line/2):
 		return VoteBack
-	case b.phase == Released:
-		return VoteNone
-	case b.t.Automatic && l > line/2:
+	case b.t.Automatic && l > line/2 && b.phase != Released:
 		return VoteHold
-	case b.t.Automatic || l > line/2:
+	case b.t.Automatic || l > line/2 || b.phase == Released:
 		return VoteNone // the clock moves the stage, or there is doubt
 	}
 	var newest, n, seen, places float64
--- a/wire/terms.go
+++ b/wire/terms.go
@@ -71,6 +71,7 @@
 	const fam = "family_info."
 	t := policy.Terms{
 		Balancers:   int(r.num("balancers")),
+		BackVotes:   int(r.num(fam + "noes_needed")),
 		Round:       r.secs("round"),
 		Ask:         r.word("discovery", "push", "ask") == 1,
 		Parallel:    r.flag("policy_limits.parallel_tries"),
