--- a/policy/policy.go
+++ b/policy/policy.go
@@ -206,12 +206,7 @@
 // onTrial tells whether a build is on trial for this balancer. Before any news only the oldest build is not.
 func (b *Balancer) onTrial(build int) bool {
 	if !b.told {
-		for _, u := range b.units {
-			if u.ready && u.build < build {
-				return true
-			}
-		}
-		return false
+		return build > b.oldest
 	}
 	return build > b.build || build == b.build && b.phase != Released
 }
@@ -231,43 +226,55 @@
 	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
-// choose takes the build by its share of the list and, within it, the better of two random choices.
-func (b *Balancer) choose(now float64, c *Command) *unit {
-	var trial, old []*unit
-	var trialHeft, heft float64
-	floor := 0
-	if b.t.OneWay && c.Key != 0 {
-		floor = b.answered[c.Key]
-	}
+// arrange keeps up to date what choose asks for each command, so that no command walks the fleet: the units of
+// either side that this balancer uses, and how its traffic parts between them.
+func (b *Balancer) arrange(now float64) {
+	b.oldest, b.ready = math.MaxInt, 0
 	for _, u := range b.units {
-		if !u.ready || u.build < floor || !b.sameGroup(c, u) {
-			continue
+		if u.ready {
+			b.ready++
+			b.oldest = min(b.oldest, u.build)
 		}
-		w := u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
-		if b.onTrial(u.build) {
-			trialHeft += w
-			if b.room(now, c, u.build) >= 1 {
-				trial = append(trial, u)
-			}
-		} else {
-			old = append(old, u)
-			heft += w
+	}
+	for i := range b.sides {
+		b.sides[i], b.heft[i] = b.sides[i][:0], 0
+	}
+	for _, u := range b.units {
+		if i := b.sideOf(u); u.ready {
+			b.sides[i] = append(b.sides[i], u)
+			b.heft[i] += u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		}
 	}
+}
+
+func (b *Balancer) sideOf(u *unit) int {
+	if b.onTrial(u.build) {
+		return 1
+	}
+	return 0
+}
+
+// choose takes the build by its share of the list and, within it, the better of two random choices.
+func (b *Balancer) choose(now float64, c *Command) *unit {
+	first, second := b.sides[1], b.sides[0]
 	// A build this balancer has voted back gets nothing more while there is another that can take the
 	// command.
-	if len(old) > 0 && (len(trial) == 0 || b.standing.verdict == VoteBack && b.standing.build == b.build ||
-		b.chance() >= trialHeft/(trialHeft+heft)) {
-		trial = nil
-	}
-	group := old
-	if trial != nil {
-		group = trial
+	if b.standing.verdict == VoteBack && b.standing.build == b.build ||
+		b.chance() >= b.heft[1]/(b.heft[0]+b.heft[1]) {
+		first, second = second, first
 	}
-	if u := b.twoChoices(now, c, group); u != nil || trial == nil {
+	if u := b.twoChoices(now, c, first); u != nil {
 		return u
 	}
-	return b.twoChoices(now, c, old)
+	return b.twoChoices(now, c, second)
+}
+
+// mayTake tells whether a unit may have the command at all, whatever its load.
+func (b *Balancer) mayTake(now float64, c *Command, u *unit) bool {
+	if b.t.OneWay && c.Key != 0 && u.build < b.answered[c.Key] {
+		return false
+	}
+	return u.ready && b.sameGroup(c, u) && (!b.onTrial(u.build) || b.room(now, c, u.build) >= 1)
 }
 
 func (b *Balancer) sameGroup(c *Command, u *unit) bool {
@@ -289,7 +296,7 @@
 }
 
 func (b *Balancer) twoChoices(now float64, c *Command, group []*unit) *unit {
-	if len(group) == 0 {
+	if len(group) == 0 || b.onTrial(group[0].build) && b.room(now, c, group[0].build) < 1 {
 		return nil
 	}
 	var best *unit
@@ -298,8 +305,12 @@
 	// among trial machines, which must be seen to fail.
 	again := func() bool { return best == nil || !b.onTrial(best.build) && b.failing(now, best) > 0.5 }
 	for try := 0; try < 4 && (try < 2 || again()); try++ {
-		u := group[int(b.chance()*float64(len(group)))]
-		if !b.warmEnough(now, c, u) {
+		at := int(b.chance() * float64(len(group)))
+		for n := 1; n < len(group) && !b.mayTake(now, c, group[at]); n++ {
+			at = (at + 1) % len(group)
+		}
+		u := group[at]
+		if !b.mayTake(now, c, u) || !b.warmEnough(now, c, u) {
 			continue
 		}
 		if cost := b.cost(now, u, c.Work); best == nil || cost < least {
@@ -358,18 +369,18 @@
 	for _, l := range u.sent {
 		sum += l.work
 	}
-	n, rate := 0, 0.0
-	for _, v := range b.units {
-		if v.ready {
-			n++
-		}
-	}
+	fair := b.rate(now) / float64(b.ready) * b.t.FallTime * c.Work
+	return sum <= max(2*c.Work, coldPart*b.t.FallFactor*0.5*r*fair)
+}
+
+// rate is how many commands a second came lately.
+func (b *Balancer) rate(now float64) float64 {
+	n := 0
 	for i := range b.taken {
 		b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
-		rate += float64(len(b.taken[i])) / b.t.Window
+		n += len(b.taken[i])
 	}
-	fair := rate / float64(n) * b.t.FallTime * c.Work
-	return sum <= max(2*c.Work, coldPart*b.t.FallFactor*0.5*r*fair)
+	return float64(n) / b.t.Window
 }
 
 // After says what to do with a command after one of its deliveries, sent to id, ended.
@@ -673,12 +684,7 @@
 // steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets
 // alike. The bound stays above this balancer's even part of two deliveries a unit: below that a fleet idles.
 func (b *Balancer) steer() {
-	least := 2.0
-	for _, u := range b.units {
-		if u.ready {
-			least += 2 / float64(b.t.Balancers)
-		}
-	}
+	least := 2 + 2*float64(b.ready)/float64(b.t.Balancers)
 	b.ratio = 0
 	for i, op := range b.t.Ops {
 		b.ratio = max(b.ratio, b.usual[i]/op.Target)
@@ -709,4 +715,5 @@
 		old = old || u.ready && u.build < b.build && b.failing(now, u) <= 0.5
 	}
 	b.paired = trial && old
+	b.arrange(now)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,6 +43,10 @@
 
 	units  []*unit // by id
 	byID   map[uint32]*unit
+	sides  [2][]*unit // ready units of released builds, of builds on trial
+	heft   [2]float64 // what they can take together
+	ready  int
+	oldest int  // build among them
 	paired bool // machines of both builds run side by side
 
 	told     bool // the stage is known
