--- a/policy/api.go
+++ b/policy/api.go
@@ -12,7 +12,9 @@
 	Parallel    bool // two deliveries of a command may be out together
 	Cancel      bool // a delivery may be called off
 	MaxPause    float64
-	Deliveries  int // most deliveries of one command
+	ConnIdle    float64 // idle connections are closed after it
+	Streams     int     // deliveries a connection carries together
+	Deliveries  int     // most deliveries of one command
 	ColdFrom    float64
 	WarmUp      float64
 	FallFactor  float64
@@ -72,6 +74,7 @@
 	Repeat bool    // the client says that it asks again
 	Begun  bool    // a streamed answer is on its way
 	Ended  bool    // it has its final answer, or needs none any more
+	Unmet  bool    // its last delivery met no unit
 	Sent   []Delivery
 }
 
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -23,7 +23,7 @@
 // newFleet gives three op types, one of each effect, and machines 1 to 4 of build 7, warm for long.
 func newFleet(edit func(*Terms)) *fleet {
 	t := Terms{
-		Balancers: 2, Round: 0.005, Parallel: false, Cancel: true, MaxPause: 1, Deliveries: 4,
+		Balancers: 2, Round: 0.005, Parallel: false, Cancel: true, MaxPause: 1, Deliveries: 4, ConnIdle: 15, Streams: 100,
 		Ops: []OpType{
 			{Target: 0.3, Importance: 2, Effect: Redeliverable, Window: 1},
 			{Target: 0.3, Importance: 2, Effect: Deduplicated, Window: 1},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -30,6 +31,8 @@
 	lagFade    = 0.97 // what is kept of the slow answers' counts at each steering: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
+	rare       = 0.1  // refused among new connections that are nothing unusual
+	failStep   = 0.25 // weight of an outcome in them
 	failCost   = 12.0 // how much a unit that fails all looks more loaded
 	quick      = 0.1  // weight of a new sample in moving means
 	retryRate  = 0.15 // further deliveries earned by a command
@@ -85,19 +88,18 @@
 	further := len(c.Sent) > 0
 	// Half a round early: a hair before the end a held command would be asked about for ever.
 	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target
-	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 {
+	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 && !c.Unmet {
 		return b.end(now, c, outs)
 	}
 	if outs > 0 && !b.t.Parallel {
 		return Step{Recall: b.t.Cancel}
 	}
-	// A command said to be so heavy that it can't be answered in time would only take its unit from others.
+	// What is said to be too heavy to be answered in time would only take its unit from others.
 	if c.Work > hopeless && b.usual[c.Op]*(1+c.Work)/2 > c.Came+op.Target-now {
 		return b.end(now, c, outs)
 	}
 	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
-	// Overload: what is open is bounded by how quickly answers come; the less important waits, then is
-	// nacked.
+	// Overload: what is open is bounded; the less important waits, then is nacked.
 	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
 		if now-c.Came+2*b.usual[c.Op] > op.Target {
 			return b.end(now, c, outs)
@@ -111,7 +113,7 @@
 		return hold
 	}
 	// The ordinary end: the delivery is on its way, with the time to look again if it stays silent.
-	if further {
+	if further && !c.Unmet { // a delivery that met no unit has cost none any work
 		b.tokens--
 	}
 	if u.open == 0 {
@@ -143,8 +145,7 @@
 	return patience * b.usual[c.Op] * max(1, c.Work)
 }
 
-// silent tells whether what is out has met a unit that has answered nothing since: a silent, stuck or far
-// slower unit, not a command that takes long.
+// silent tells whether what is out has met units that have answered nothing since, not a command that is long.
 func (b *Balancer) silent(now float64, c *Command) bool {
 	for _, d := range c.Sent {
 		if u := b.byID[d.Unit]; d.Out && (u.heard > d.At || now < d.At+b.patience(c)-1e-6) {
@@ -187,8 +188,7 @@
 	return true
 }
 
-// end gives a command its final answer at once: a nack where a retry is harmless, else a failure. While a
-// delivery is out that may still be acked in time, there is nothing to say.
+// end gives a command its final answer at once, a nack where a retry is harmless, unless a delivery is still out.
 func (b *Balancer) end(now float64, c *Command, outs int) Step {
 	if outs > 0 {
 		return Step{}
@@ -226,39 +226,46 @@
 	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
-// arrange keeps up to date what choose asks for each command, so that no command walks the fleet: the units of
-// either side that this balancer uses, and how its traffic parts between them.
+// arrange keeps up to date what is asked for each command and vote, so that none walks the fleet: the units of
+// either side, how the traffic parts between them, and whether both builds run side by side.
 func (b *Balancer) arrange(now float64) {
-	b.oldest, b.ready = math.MaxInt, 0
+	b.oldest, b.ready, b.earlier, b.newer, b.newest = math.MaxInt, 0, 0, 0, 0
+	old := false // a machine that a stale list only names answers nothing: it is no company
 	for _, u := range b.units {
-		if u.ready {
-			b.ready++
-			b.oldest = min(b.oldest, u.build)
+		switch {
+		case !u.ready:
+			continue
+		case u.build == b.build:
+			b.newer++
+			b.newest = max(b.newest, u.since)
+		case u.build < b.build:
+			b.earlier++
+			old = old || b.failing(now, u) <= 0.5
 		}
+		b.ready++
+		b.oldest = min(b.oldest, u.build)
 	}
+	// Where connections are refused, the few that are open decide how late answers are.
+	b.paired = b.newer > 0 && old && b.refusal(now) <= rare
 	for i := range b.sides {
 		b.sides[i], b.heft[i] = b.sides[i][:0], 0
 	}
 	for _, u := range b.units {
-		if i := b.sideOf(u); u.ready {
+		i := 0
+		if b.onTrial(u.build) {
+			i = 1
+		}
+		if u.ready {
 			b.sides[i] = append(b.sides[i], u)
 			b.heft[i] += u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		}
 	}
 }
 
-func (b *Balancer) sideOf(u *unit) int {
-	if b.onTrial(u.build) {
-		return 1
-	}
-	return 0
-}
-
-// choose takes the build by its share of the list and, within it, the better of two random choices.
+// choose takes the build by its share of the list, unless this balancer has voted it back, and the better of
+// two random choices within it; the other build where none can take the command.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	first, second := b.sides[1], b.sides[0]
-	// A build this balancer has voted back gets nothing more while there is another that can take the
-	// command.
 	if b.standing.verdict == VoteBack && b.standing.build == b.build ||
 		b.chance() >= b.heft[1]/(b.heft[0]+b.heft[1]) {
 		first, second = second, first
@@ -271,28 +278,19 @@
 
 // mayTake tells whether a unit may have the command at all, whatever its load.
 func (b *Balancer) mayTake(now float64, c *Command, u *unit) bool {
-	if b.t.OneWay && c.Key != 0 && u.build < b.answered[c.Key] {
-		return false
-	}
-	return u.ready && b.sameGroup(c, u) && (!b.onTrial(u.build) || b.room(now, c, u.build) >= 1)
-}
-
-func (b *Balancer) sameGroup(c *Command, u *unit) bool {
 	op := &b.t.Ops[c.Op]
 	for _, d := range c.Sent {
 		v := b.byID[d.Unit]
-		if v == u && !b.t.Parallel && len(b.units) > 1 && d.Maybe && len(c.Sent) == 1 {
-			return false // not where it just failed
-		}
-		if v == u && d.Out {
-			return false
+		if v == u && (d.Out || !b.t.Parallel && len(b.units) > 1 && d.Maybe && len(c.Sent) == 1) {
+			return false // not where it is, nor where it just failed
 		}
 		if op.Effect == Deduplicated && (d.Out || d.Maybe) && (op.Group == GroupZone && v.zone != u.zone ||
 			op.Group == GroupCell && v.cell != u.cell) {
 			return false
 		}
 	}
-	return true
+	return u.ready && (!b.t.OneWay || c.Key == 0 || u.build >= b.answered[c.Key]) &&
+		(!b.onTrial(u.build) || b.room(now, c, u.build) >= 1)
 }
 
 func (b *Balancer) twoChoices(now float64, c *Command, group []*unit) *unit {
@@ -302,14 +300,23 @@
 	var best *unit
 	var least float64
 	// Where both fail about every other delivery, two more are drawn: half of a stale list may be gone. Not
-	// among trial machines, which must be seen to fail.
-	again := func() bool { return best == nil || !b.onTrial(best.build) && b.failing(now, best) > 0.5 }
-	for try := 0; try < 4 && (try < 2 || again()); try++ {
+	// among trial machines, which must be seen to fail. Where connections are refused, the best of more open
+	// ones is taken: they lead to few units, which others crowd as well.
+	tries, few := 4, b.refusal(now) > rare
+	if few {
+		tries = 8
+	}
+	again := func() bool { return best == nil || few || !b.onTrial(best.build) && b.failing(now, best) > 0.5 }
+	for try := 0; try < tries && (try < 2 || again()); try++ {
 		at := int(b.chance() * float64(len(group)))
-		for n := 1; n < len(group) && !b.mayTake(now, c, group[at]); n++ {
-			at = (at + 1) % len(group)
-		}
 		u := group[at]
+		for i := range group {
+			if v := group[(at+i)%len(group)]; b.mayTake(now, c, v) {
+				if u = v; !few || try == 1 && !c.Unmet || b.linked(now, v) {
+					break
+				}
+			}
+		}
 		if !b.mayTake(now, c, u) || !b.warmEnough(now, c, u) {
 			continue
 		}
@@ -321,30 +328,22 @@
 }
 
 // cost is how loaded a unit looks from here: own work out and to come, how slowly it answers, how long it has
-// been silent and how often it failed lately. It answers slow, silent and fast-failing units alike, whatever
-// the cause, and forgets with time so that each is tried again.
+// been silent and how often it failed lately, whatever the cause. It forgets, so that each is tried again.
 func (b *Balancer) cost(now float64, u *unit, work float64) float64 {
+	if !b.linked(now, u) {
+		work *= 1 + failCost*b.refusal(now)
+	}
 	slow := max(u.slow, 0.2)
 	if u.slow == 0 {
 		slow = 1
 	}
-	if m := b.meanUsual(); u.open > 0 && m > 0 {
-		slow = max(slow, (now-u.heard)/(2*m))
+	if u.open > 0 && b.longest > 0 {
+		slow = max(slow, (now-u.heard)/(2*b.longest))
 	}
 	return (u.work + work) * slow * (1 + failCost*b.failing(now, u)) / (u.heft * b.ramp(now, u))
 }
 
-func (b *Balancer) failing(now float64, u *unit) float64 {
-	return u.fail * math.Exp((u.failAt-now)/failFade)
-}
-
-func (b *Balancer) meanUsual() float64 {
-	m := 0.0
-	for _, v := range b.usual {
-		m = max(m, v)
-	}
-	return m
-}
+func (b *Balancer) failing(now float64, u *unit) float64 { return u.fail.level(now, failFade) }
 
 // ramp is the least share of its capacity that a unit has by now, by the rule's own figures.
 func (b *Balancer) ramp(now float64, u *unit) float64 {
@@ -354,8 +353,7 @@
 	return b.t.ColdFrom + (1-b.t.ColdFrom)*max(0, now-u.since)/b.t.WarmUp
 }
 
-// warmEnough is rule 4: this balancer's part of what a cold unit may be sent, measured by what a warm unit is
-// sent from here when all are alike.
+// warmEnough is rule 4: this balancer's part of what a cold unit may be sent, by what a warm one is sent from here.
 func (b *Balancer) warmEnough(now float64, c *Command, u *unit) bool {
 	r := b.ramp(now, u)
 	if r >= 1 {
@@ -386,6 +384,8 @@
 // After says what to do with a command after one of its deliveries, sent to id, ended.
 func (b *Balancer) After(now float64, c *Command, id uint32, r Result, took float64) Step {
 	u := b.byID[id]
+	b.link(now, u, r)
+	c.Unmet = r == Unconnected || r == Unsent
 	u.open--
 	u.work -= c.Work
 	b.open--
@@ -401,6 +401,27 @@
 	return b.Pick(now, c)
 }
 
+// link notes whether a connection is open, and how often a new one could not be had lately: on trial machines
+// that is a matter of the build.
+func (b *Balancer) link(now float64, u *unit, r Result) {
+	met := r == Acked || r == Errored || r == Full
+	if !b.onTrial(u.build) && (r == Unconnected || met && !b.linked(now, u)) {
+		b.refused.add(now, failFade, quick, r == Unconnected)
+	}
+	if r == Unconnected {
+		u.links = 0
+	} else if met {
+		u.links, u.linkAt = (u.open+b.t.Streams-1)/b.t.Streams, now
+	}
+}
+
+func (b *Balancer) refusal(now float64) float64 { return b.refused.level(now, failFade) }
+
+// linked tells whether a unit has an open connection with room.
+func (b *Balancer) linked(now float64, u *unit) bool {
+	return u.open < u.links*b.t.Streams && now-u.linkAt < b.t.ConnIdle
+}
+
 // judge enters an outcome into the unit's health, the usual times and MaxSPRT-AB's counts.
 func (b *Balancer) judge(now float64, c *Command, u *unit, r Result, took float64) {
 	op := c.Op
@@ -411,11 +432,7 @@
 	if r != TimedOut {
 		u.heard = now
 	}
-	f, v := b.failing(now, u), 0.0
-	if bad || r == Full {
-		v = 1
-	}
-	u.fail, u.failAt = f+0.25*(v-f), now
+	u.fail.add(now, failFade, failStep, bad || r == Full)
 	sent := now - took
 	same := sent >= u.since // it went to this process, not to an earlier one of the id
 	// Warm, and rid of what queued while it was cold: the fuller the fleet, the longer that takes.
@@ -438,12 +455,10 @@
 		of[failed].add(bad)
 	}
 	// Without earlier machines beside it, a burst, a slow fleet or vanished machines meet the trial build
-	// alone, and its lateness is no comparison. Errors and wrong answers still are.
+	// alone: its lateness is no comparison. Nor is that of cold machines that start together.
 	if !b.paired {
 		return
 	}
-	// Cold machines that start together time out past the first seconds: their lateness says nothing of the
-	// build.
 	if r != Full && (r != TimedOut || warm) {
 		of[lost].add(bad && r != Errored)
 	}
@@ -496,11 +511,9 @@
 }
 
 // excess is L over both builds' samples. A build is bad on all its machines: the quarter of a side with the
-// most failures above the usual (never more than half; for errors two, where others remain) is left out, so
-// that failing, slow or silent units are not taken for the build; of wrong answers, which are rare and told
-// in part, only a machine that gives more than half of them. For slowness, which neighbours and queues cause
-// on many machines, half the trial side is left out. A lone trial machine's lateness is no proof at all (it
-// may be the machine, or what queued while it was cold): the next stage has more of them.
+// most failures above the usual (at most half; for errors two, where others remain) is left out; of wrong
+// answers, which are rare, only a machine that gives more than half of them; for slowness, which neighbours
+// and queues cause on many machines, half the trial side. A lone trial machine's lateness is no proof at all.
 func (b *Balancer) excess(kind int) float64 {
 	var side [2][]count
 	var sum, few [2]count
@@ -543,12 +556,11 @@
 		side[i] = list[skip:]
 	}
 	// Errors are the build's where the rest fails about as much: then all count. Else they are machines' own.
-	if kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n {
-		return 0
-	} else if kind == failed {
+	own := kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n
+	if kind == failed {
 		sum[1] = whole
 	}
-	if sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
+	if own || sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / spread(side[0], sum[0])
@@ -560,9 +572,8 @@
 	return l
 }
 
-// spread learns the threshold from A/A comparisons, as the paper's Algorithm 1 does: how far the earlier
-// build's machines differ among themselves against what chance gives (Pearson's statistic over its degrees of
-// freedom). Queues, bursts and machines of unlike speed make failures come in clumps.
+// spread learns the threshold from A/A comparisons, as the paper's Algorithm 1: how far the earlier machines
+// differ among themselves against what chance gives (Pearson's statistic over its degrees of freedom).
 func spread(list []count, sum count) float64 {
 	p, x2 := sum.bad/max(1, sum.n), 0.0
 	for _, c := range list {
@@ -583,7 +594,7 @@
 		clear(b.answered)
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
-	b.pair(now)
+	b.arrange(now)
 }
 
 // VoteAnswered is what became of the vote last cast.
@@ -605,8 +616,8 @@
 		return VoteNone
 	}
 	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow))
-	// ln(balancers) guards against the one of many that crosses by chance. Where a build goes back on several
-	// votes, as many have to cross by chance: the balancers share that guard.
+	// ln(balancers) guards against the one of many that crosses by chance: where several votes are needed, as
+	// many have to.
 	line := backNats + math.Log(float64(b.t.Balancers)/float64(max(1, b.t.BackVotes)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
@@ -617,15 +628,9 @@
 	case b.t.Automatic || l > line/2 || b.phase == Released:
 		return VoteNone // the clock moves the stage, or there is doubt
 	}
-	var newest, n, seen, places float64
-	for _, u := range b.units {
-		if u.ready && u.build == b.build {
-			n++
-			newest = max(newest, u.since)
-		}
-		if u.ready && (u.build < b.build || b.t.Replace && u.build == b.build) {
-			places++
-		}
+	seen, places := 0.0, float64(b.earlier)
+	if b.t.Replace {
+		places = float64(b.earlier + b.newer)
 	}
 	for _, s := range b.samples {
 		if s.build == b.build {
@@ -633,14 +638,12 @@
 		}
 	}
 	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
-	if n < math.Ceil(places*share-1e-6) && now-b.stageAt < onBlind || n == 0 {
-		return VoteNone
-	}
 	wait := onWaitFew
 	if seen >= leastSeen {
 		wait = onWait
 	}
-	if now-max(newest, b.stageAt) < wait {
+	if b.newer == 0 || now-max(b.newest, b.stageAt) < wait ||
+		float64(b.newer) < math.Ceil(places*share-1e-6) && now-b.stageAt < onBlind {
 		return VoteNone
 	}
 	return VoteOn
@@ -653,7 +656,7 @@
 	if now-b.steeredAt >= steerIn-b.t.Round {
 		b.steeredAt = now
 		b.steer()
-		b.pair(now)
+		b.arrange(now)
 		for _, s := range b.samples {
 			s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
 		}
@@ -681,11 +684,11 @@
 	return t
 }
 
-// steer bounds what is open by how quickly answers come: it holds against overload, bursts, slow fleets
-// alike. The bound stays above this balancer's even part of two deliveries a unit: below that a fleet idles.
+// steer bounds what is open by how quickly answers come, against overload, bursts and slow fleets alike, but
+// not below this balancer's even part of two deliveries a unit: below that a fleet idles.
 func (b *Balancer) steer() {
 	least := 2 + 2*float64(b.ready)/float64(b.t.Balancers)
-	b.ratio = 0
+	b.ratio, b.longest = 0, slices.Max(b.usual)
 	for i, op := range b.t.Ops {
 		b.ratio = max(b.ratio, b.usual[i]/op.Target)
 	}
@@ -703,17 +706,5 @@
 	for _, u := range b.units {
 		u.ready = u.ready && u.known
 	}
-	b.pair(now)
-}
-
-// pair tells from list and news, whichever came last, whether both builds run side by side.
-func (b *Balancer) pair(now float64) {
-	// A machine that a stale list only names answers nothing: it is no company.
-	trial, old := false, false
-	for _, u := range b.units {
-		trial = trial || u.ready && u.build == b.build
-		old = old || u.ready && u.build < b.build && b.failing(now, u) <= 0.5
-	}
-	b.paired = trial && old
 	b.arrange(now)
 }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -220,3 +220,35 @@
 	// at-most-once, importance 5: hold with 6 open
 	// redeliverable, importance 2: nack, back in 1.0 s with 5 open
 }
+
+// Units close connections and take few new ones: those that are open are kept to, refusals cost no token and are
+// nobody's failure.
+func Example_refusedConnections() {
+	f := newFleet(nil)
+	for i := uint32(0); i < 60; i++ {
+		f.list(false, machine{id: 100 + i, build: 7}, machine{id: 200 + i, build: 8})
+	}
+	f.b.Stage(f.now, 8, 1, OnTrial, 0.5, 20)
+	for _, open := range []uint32{1000, 6, 6, 6} { // every so many units take a connection
+		met := map[Result]int{}
+		f.run(200, 4, func(u uint32, _ int) (Result, float64) {
+			r := Acked
+			if open < 1000 && u%open != 0 {
+				r = Unconnected
+			}
+			met[r]++
+			return r, 0.02
+		})
+		fmt.Printf("%d acked, %d met nobody\n", met[Acked], met[Unconnected])
+		f.vote(0.3, Counted)
+	}
+	// Output:
+	// 200 acked, 0 met nobody
+	// vote on on build 8 stage 1
+	// 113 acked, 87 met nobody
+	// no vote
+	// 146 acked, 54 met nobody
+	// vote on on build 8 stage 1
+	// 140 acked, 60 met nobody
+	// no vote
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash"
+	"math"
 	"sort"
 )
 
@@ -18,9 +19,11 @@
 	open         int     // own deliveries out
 	work         float64 // their work
 	heard        float64 // last answer, or first delivery since none was out
-	fail, failAt float64 // share of failures lately, fading
+	fail         fading  // share of failures lately
 	slow         float64 // answer time over the usual
-	sent         []load  // while cold: own deliveries within the fall time
+	links        int     // connections believed open
+	linkAt       float64
+	sent         []load // while cold: own deliveries within the fall time
 }
 
 type load struct{ at, work float64 }
@@ -32,6 +35,18 @@
 	of    [kinds]count
 }
 
+// fading is a share of hits that is forgotten to 1/e within a life.
+type fading struct{ share, at float64 }
+
+func (f fading) level(now, life float64) float64 { return f.share * math.Exp((f.at-now)/life) }
+
+func (f *fading) add(now, life, weight float64, hit bool) {
+	f.share, f.at = f.level(now, life)*(1-weight), now
+	if hit {
+		f.share += weight
+	}
+}
+
 type count struct{ n, bad float64 }
 
 // Balancer is one instance's decisions.
@@ -46,7 +61,11 @@
 	sides  [2][]*unit // ready units of released builds, of builds on trial
 	heft   [2]float64 // what they can take together
 	ready  int
-	oldest int  // build among them
+	oldest int // build among them
+
+	earlier, newer int     // ready machines of builds before the newest told, and of it
+	newest         float64 // start among the latter
+
 	paired bool // machines of both builds run side by side
 
 	told     bool // the stage is known
@@ -60,16 +79,19 @@
 	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
 	answered map[uint64]int
 
-	usual  []float64 // answer time by op type
-	plain  []float64 // the same of warm machines of the earlier build
-	missed []float64 // when a command of the op type last ended failed
-	tokens float64
-	open   int
-	peak   int
-	limit  float64
-	ratio  float64 // usual answer time over target, of the op type nearest to it
-	worth  float64 // highest importance
-	hint   float64 // usual work told
+	usual   []float64 // answer time by op type
+	longest float64   // of them
+	plain   []float64 // the same of warm machines of the earlier build
+	missed  []float64 // when a command of the op type last ended failed
+	tokens  float64
+
+	refused fading // share of new connections that could not be had lately
+	open    int
+	peak    int
+	limit   float64
+	ratio   float64 // usual answer time over target, of the op type nearest to it
+	worth   float64 // highest importance
+	hint    float64 // usual work told
 
 	votedAt, callAt float64
 	steeredAt       float64
@@ -140,7 +162,7 @@
 		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
 	}
 	if since != u.since || build != u.build {
-		u.before, u.fail, u.slow, u.sent = u.build, 0, 0, nil
+		u.before, u.fail, u.slow, u.sent = u.build, fading{}, 0, nil
 	}
 	if heft <= 0 {
 		heft = 1
--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -184,3 +184,26 @@
 	fmt.Println("counted:", f.b.sampleOf(11, 8).of[failed].n+f.b.sampleOf(12, 8).of[failed].n-before < 5)
 	// Output: counted: true
 }
+
+// Many relays and machines: each machine is met once or twice, and a build goes back on many votes.
+func Example_manyMachines() {
+	for _, r := range []Result{Acked, Errored, TimedOut} {
+		f := newFleet(func(t *Terms) { t.Balancers, t.BackVotes = 300, 45 })
+		for i := uint32(0); i < 100; i++ {
+			f.list(false, machine{id: 100 + i, build: 7}, machine{id: 300 + i, build: 8, since: 80})
+		}
+		f.b.Stage(f.now, 8, 2, OnTrial, 1, 10)
+		met := f.run(60, 4, func(_ uint32, build int) (Result, float64) {
+			if build == 8 {
+				return r, 0.05
+			}
+			return Acked, 0.05
+		})
+		fmt.Print(met[8], " outcomes of 100 trial machines: ")
+		f.vote(1, Counted)
+	}
+	// Output:
+	// 27 outcomes of 100 trial machines: vote on on build 8 stage 2
+	// 24 outcomes of 100 trial machines: vote back on build 8 stage 2
+	// 24 outcomes of 100 trial machines: vote back on build 8 stage 2
+}
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -9,7 +9,7 @@
 )
 
 const terms = "balancers=1\nround=5\ndiscovery=push\npolicy_limits.parallel_tries=false\npolicy_limits.may_cancel=true\n" +
-	"policy_limits.max_retry_after=1000\npolicy_limits.send_cap=3\nrules.cold_from=0.3\n" +
+	"policy_limits.max_retry_after=1000\npolicy_limits.send_cap=3\npolicy_limits.conn_idle=15000\npolicy_limits.max_streams=100\nrules.cold_from=0.3\n" +
 	"rules.warm_up=4000\nrules.fall_multiple=3\nrules.fall=2000\nfamily_info.window=4000\nfamily_info.spare_tries=1\n" +
 	"family_info.exposure_caps=0.1,1.0\nfamily_info.waves=0.1,1.0\nfamily_info.counts=all\nfamily_info.shielded=0\n" +
 	"family_info.forward_only=false\nfamily_info.gate_mode=by_count\nfamily_info.replace_mode=replace\n" +
@@ -94,12 +94,12 @@
 	}
 	// Output:
 	// frame cut off in its length
-	// frame of 877 bytes cut off
-	// frame of 877 bytes cut off
+	// frame of 937 bytes cut off
+	// frame of 937 bytes cut off
 	// frame of 4294967295 bytes
 	// frame of 20 bytes holds no 1 records
 	// unknown event code 3
-	// tail reference 0+817 outside a tail of 0 bytes
+	// tail reference 0+877 outside a tail of 0 bytes
 	// setting rules.fall is missing
 	// setting family_info.window is no number: "four"
 	// unknown class 7
--- a/wire/terms.go
+++ b/wire/terms.go
@@ -77,6 +77,8 @@
 		Parallel:    r.flag("policy_limits.parallel_tries"),
 		Cancel:      r.flag("policy_limits.may_cancel"),
 		MaxPause:    r.secs("policy_limits.max_retry_after"),
+		ConnIdle:    r.secs("policy_limits.conn_idle"),
+		Streams:     max(1, int(r.num("policy_limits.max_streams"))),
 		Deliveries:  int(r.num("policy_limits.send_cap")),
 		ColdFrom:    r.num("rules.cold_from"),
 		WarmUp:      r.secs("rules.warm_up"),
