--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,8 @@
 	slack      = 1.5  // a trial answer above slack times that: a build a little slower is still good
 	lagFade    = 0.97 // what is kept of the slow answers' counts at each steering: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
+	leastUsed  = 20.0 // units that a balancer uses at least
+	inIdle     = 0.33 // of the time after which an idle connection is closed, until a unit is used again
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
 	rare       = 0.1  // refused among new connections that are nothing unusual
 	failStep   = 0.25 // weight of an outcome in them
@@ -160,7 +162,7 @@
 	i := b.bucket(c.Op)
 	b.taken[i] = append(b.taken[i], now)
 	b.tokens = min(b.tokens+retryRate, retryMost)
-	// From here on work is counted against the usual command's.
+
 	if c.Work > 0 {
 		mean(&b.hint, c.Work)
 		c.Work /= b.hint
@@ -247,6 +249,9 @@
 	}
 	// Where connections are refused, the few that are open decide how late answers are.
 	b.paired = b.newer > 0 && old && b.refusal(now) <= rare
+	// A balancer uses as many units, each balancer others, as its traffic keeps connections open to: to go to
+	// more costs a handshake for each command and a place in everyone's table.
+	part := min(1, max(leastUsed, b.rate(now)*b.t.ConnIdle*inIdle)/float64(max(1, b.ready)))
 	for i := range b.sides {
 		b.sides[i], b.heft[i] = b.sides[i][:0], 0
 	}
@@ -260,6 +265,9 @@
 			b.heft[i] += u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		}
 	}
+	for i, side := range b.sides {
+		b.sides[i] = side[:int(math.Ceil(part*float64(len(side))))]
+	}
 }
 
 // choose takes the build by its share of the list, unless this balancer has voted it back, and the better of
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -245,10 +245,10 @@
 	// Output:
 	// 200 acked, 0 met nobody
 	// vote on on build 8 stage 1
-	// 113 acked, 87 met nobody
+	// 138 acked, 62 met nobody
 	// no vote
-	// 146 acked, 54 met nobody
+	// 164 acked, 36 met nobody
 	// vote on on build 8 stage 1
-	// 140 acked, 60 met nobody
+	// 119 acked, 81 met nobody
 	// no vote
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"hash"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -11,6 +12,7 @@
 
 type unit struct {
 	id           uint32
+	rank         float64 // its place in this balancer's order
 	zone, cell   uint16
 	build        int
 	heft, since  float64
@@ -56,7 +58,7 @@
 	counter uint64
 	hash    hash.Hash64
 
-	units  []*unit // by id
+	units  []*unit // by rank
 	byID   map[uint32]*unit
 	sides  [2][]*unit // ready units of released builds, of builds on trial
 	heft   [2]float64 // what they can take together
@@ -156,10 +158,13 @@
 func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
 	u := b.byID[id]
 	if u == nil {
-		u = &unit{id: id, before: build, build: build, since: since}
+		u = &unit{id: id, rank: b.draw(uint64(id)), before: build, build: build, since: since}
 		b.byID[id] = u
-		b.units = append(b.units, u)
-		sort.Slice(b.units, func(i, j int) bool { return b.units[i].id < b.units[j].id })
+		at := sort.Search(len(b.units), func(i int) bool {
+			v := b.units[i]
+			return v.rank > u.rank || v.rank == u.rank && v.id > u.id
+		})
+		b.units = slices.Insert(b.units, at, u)
 	}
 	if since != u.since || build != u.build {
 		u.before, u.fail, u.slow, u.sent = u.build, fading{}, 0, nil
@@ -175,9 +180,14 @@
 func (b *Balancer) ListFailed() { b.watching = false }
 
 func (b *Balancer) chance() float64 {
-	var buf [16]byte
 	b.counter++
-	binary.LittleEndian.PutUint64(buf[:], b.counter)
+	return b.draw(b.counter)
+}
+
+// draw is a number from 0 to 1 out of the instance's seed and n.
+func (b *Balancer) draw(n uint64) float64 {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:], n)
 	binary.LittleEndian.PutUint64(buf[8:], b.seed)
 	b.hash.Reset()
 	b.hash.Write(buf[:])
