--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
 	leastSeen  = 8.0  // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
-	leastBad   = 3.0  // failures among them
+	leastBad   = 1.0  // failures among them
 	settle     = 2.0  // s after a start that go uncounted
 	onWait     = 3.6  // s after the newest trial start, with leastSeen outcomes
 	onWaitFew  = 5.0  // s with fewer
