--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
 	leastSeen  = 8.0  // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
-	leastBad   = 1.0  // failures among them
+	leastBad   = 2.0  // failures among them
 	settle     = 2.0  // s after a start that go uncounted
 	onWait     = 3.6  // s after the newest trial start, with leastSeen outcomes
 	onWaitFew  = 5.0  // s with fewer
@@ -623,17 +623,19 @@
 	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
 		return VoteNone
 	}
-	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow))
-	// ln(balancers) guards against the one of many that crosses by chance: where several votes are needed, as
-	// many have to.
-	line := backNats + math.Log(float64(b.t.Balancers)/float64(max(1, b.t.BackVotes)))
+	// ln(balancers) guards against the one of many that crosses by chance: where k votes are needed, as many
+	// have to. What troubles many balancers at once may make them cross together, so they share that guard
+	// only; clients find wrong answers each for themselves, so there any k of n have to cross by chance.
+	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
+	shared, apart := backNats+math.Log(n/k), (backNats+lnChoose(n, k))/k
+	l := max(b.excess(wrong)/apart, max(b.excess(failed), b.excess(lost), b.excess(slow))/shared)
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
-	case l >= line || kept && (!b.t.Automatic || l > line/2):
+	case l >= 1 || kept && (!b.t.Automatic || l > 0.5):
 		return VoteBack
-	case b.t.Automatic && l > line/2 && b.phase != Released:
+	case b.t.Automatic && l > 0.5 && b.phase != Released:
 		return VoteHold
-	case b.t.Automatic || l > line/2 || b.phase == Released:
+	case b.t.Automatic || l > 0.5 || b.phase == Released:
 		return VoteNone // the clock moves the stage, or there is doubt
 	}
 	seen, places := 0.0, float64(b.earlier)
--- a/policy/state.go
+++ b/policy/state.go
@@ -128,6 +128,14 @@
 	*m += quick * (v - *m)
 }
 
+// lnChoose is the log of the number of ways to choose k of n.
+func lnChoose(n, k float64) float64 {
+	all, _ := math.Lgamma(n + 1)
+	in, _ := math.Lgamma(k + 1)
+	out, _ := math.Lgamma(n - k + 1)
+	return all - in - out
+}
+
 func (c *count) add(bad bool) {
 	c.n++
 	if bad {
