--- a/policy/policy.go
+++ b/policy/policy.go
@@ -530,21 +530,20 @@
 		if s.build == b.build {
 			i = 1
 		}
-		c := s.of[kind]
-		if c.n < leastPart { // met too seldom to be told apart: such machines count together
-			few[i].n, few[i].bad = few[i].n+c.n, few[i].bad+c.bad
-			if c = few[i]; c.n < leastPart {
-				continue
-			}
-			few[i] = count{}
+		// A machine met too seldom to be told from the rest can't say much alone either: such count together.
+		c, to := s.of[kind], &sum[i]
+		if c.n < leastPart {
+			to = &few[i]
+		} else {
+			side[i] = append(side[i], c)
 		}
-		side[i] = append(side[i], c)
-		sum[i].n, sum[i].bad = sum[i].n+c.n, sum[i].bad+c.bad
+		to.n, to.bad = to.n+c.n, to.bad+c.bad
 	}
-	if kind >= lost && len(side[1]) < 2 {
+	if kind >= lost && len(side[1]) < 2 && few[1].n < leastPart {
 		return 0
 	}
-	usual, whole := sum[0].bad/max(1, sum[0].n), sum[1]
+	usual := (sum[0].bad + few[0].bad) / max(1, sum[0].n+few[0].n)
+	whole := count{sum[1].n + few[1].n, sum[1].bad + few[1].bad}
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].bad - list[j].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
@@ -562,6 +561,7 @@
 			sum[i].n, sum[i].bad = sum[i].n-c.n, sum[i].bad-c.bad
 		}
 		side[i] = list[skip:]
+		sum[i].n, sum[i].bad = sum[i].n+few[i].n, sum[i].bad+few[i].bad
 	}
 	// Errors are the build's where the rest fails about as much: then all count. Else they are machines' own.
 	own := kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n
