--- a/policy/policy.go
+++ b/policy/policy.go
@@ -623,12 +623,10 @@
 	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
 		return VoteNone
 	}
-	// ln(balancers) guards against the one of many that crosses by chance: where k votes are needed, as many
-	// have to. What troubles many balancers at once may make them cross together, so they share that guard
-	// only; clients find wrong answers each for themselves, so there any k of n have to cross by chance.
+	// ln(balancers) guards against the one of many that crosses by chance. Where k votes are needed, any k of
+	// n have to: the line is where that is as unlikely.
 	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
-	shared, apart := backNats+math.Log(n/k), (backNats+lnChoose(n, k))/k
-	l := max(b.excess(wrong)/apart, max(b.excess(failed), b.excess(lost), b.excess(slow))/shared)
+	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow)) * k / (backNats + lnChoose(n, k))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
 	case l >= 1 || kept && (!b.t.Automatic || l > 0.5):
