--- a/policy/policy.go
+++ b/policy/policy.go
@@ -150,7 +150,9 @@
 // silent tells whether what is out has met units that have answered nothing since, not a command that is long.
 func (b *Balancer) silent(now float64, c *Command) bool {
 	for _, d := range c.Sent {
-		if u := b.byID[d.Unit]; d.Out && (u.heard > d.At || now < d.At+b.patience(c)-1e-6) {
+		// A unit that has nothing else out has been given no other chance to be heard: it gets more time.
+		u := b.byID[d.Unit]
+		if d.Out && (u.heard > d.At || now < d.At+b.patience(c)*(1+1/float64(u.open))-1e-6) {
 			return false
 		}
 	}
@@ -623,10 +625,11 @@
 	if !b.told || b.phase == GoingBack || b.phase == Withdrawn {
 		return VoteNone
 	}
-	// ln(balancers) guards against the one of many that crosses by chance. Where k votes are needed, any k of
-	// n have to: the line is where that is as unlikely.
+	// ln(balancers) guards against the one of many that crosses by chance; where k votes are needed, any k of n
+	// have to: the line is where that is as unlikely. Troubles that make many late at once only share the guard.
 	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
-	l := max(b.excess(wrong), b.excess(failed), b.excess(lost), b.excess(slow)) * k / (backNats + lnChoose(n, k))
+	l := max(max(b.excess(wrong), b.excess(failed))*k/(backNats+lnChoose(n, k)),
+		max(b.excess(lost), b.excess(slow))/(backNats+math.Log(n/k)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
 	case l >= 1 || kept && (!b.t.Automatic || l > 0.5):
