--- a/policy/policy.go
+++ b/policy/policy.go
@@ -209,10 +209,7 @@
 
 // onTrial tells whether a build is on trial for this balancer. Before any news only the oldest build is not.
 func (b *Balancer) onTrial(build int) bool {
-	if !b.told {
-		return build > b.oldest
-	}
-	return build > b.build || build == b.build && b.phase != Released
+	return !b.told && build > b.oldest || b.told && (build > b.build || build == b.build && b.phase != Released)
 }
 
 // room is rule 5: how many more trial deliveries the window holds.
@@ -258,11 +255,7 @@
 		b.sides[i], b.heft[i] = b.sides[i][:0], 0
 	}
 	for _, u := range b.units {
-		i := 0
-		if b.onTrial(u.build) {
-			i = 1
-		}
-		if u.ready {
+		if i := sideOf(b.onTrial(u.build)); u.ready {
 			b.sides[i] = append(b.sides[i], u)
 			b.heft[i] += u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		}
@@ -513,7 +506,7 @@
 		}
 		return c.bad*math.Log(c.bad/c.n) + (c.n-c.bad)*math.Log(1-c.bad/c.n)
 	}
-	l := ll(a) + ll(b) - ll(count{a.n + b.n, a.bad + b.bad})
+	l := ll(a) + ll(b) - ll(a.with(b, 1))
 	if b.bad*a.n < a.bad*b.n {
 		return -l
 	}
@@ -528,24 +521,19 @@
 	var side [2][]count
 	var sum, few [2]count
 	for _, s := range b.samples {
-		i := 0
-		if s.build == b.build {
-			i = 1
-		}
+		i := sideOf(s.build == b.build)
 		// A machine met too seldom to be told from the rest can't say much alone either: such count together.
-		c, to := s.of[kind], &sum[i]
-		if c.n < leastPart {
-			to = &few[i]
+		if c := s.of[kind]; c.n < leastPart {
+			few[i] = few[i].with(c, 1)
 		} else {
-			side[i] = append(side[i], c)
+			side[i], sum[i] = append(side[i], c), sum[i].with(c, 1)
 		}
-		to.n, to.bad = to.n+c.n, to.bad+c.bad
 	}
 	if kind >= lost && len(side[1]) < 2 && few[1].n < leastPart {
 		return 0
 	}
-	usual := (sum[0].bad + few[0].bad) / max(1, sum[0].n+few[0].n)
-	whole := count{sum[1].n + few[1].n, sum[1].bad + few[1].bad}
+	whole := [2]count{sum[0].with(few[0], 1), sum[1].with(few[1], 1)}
+	usual := whole[0].bad / max(1, whole[0].n)
 	for i, list := range side {
 		over := func(j int) float64 { return list[j].bad - list[j].n*usual }
 		sort.SliceStable(list, func(j, k int) bool { return over(j) > over(k) })
@@ -559,21 +547,23 @@
 		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
+		sum[i] = whole[i]
 		for _, c := range list[:skip] {
-			sum[i].n, sum[i].bad = sum[i].n-c.n, sum[i].bad-c.bad
+			sum[i] = sum[i].with(c, -1)
 		}
 		side[i] = list[skip:]
-		sum[i].n, sum[i].bad = sum[i].n+few[i].n, sum[i].bad+few[i].bad
 	}
-	// Errors are the build's where the rest fails about as much: then all count. Else they are machines' own.
-	own := kind == failed && 4*sum[1].bad*whole.n < whole.bad*sum[1].n
+	differ := spread(side[0], sum[0])
+	// Errors are the build's where the rest fails about as much: then all count, on both sides. Else they are
+	// machines' own.
+	own := kind == failed && 4*sum[1].bad*whole[1].n < whole[1].bad*sum[1].n
 	if kind == failed {
-		sum[1] = whole
+		sum = whole
 	}
 	if own || sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
 		return 0
 	}
-	l := nats(sum[0], sum[1]) / spread(side[0], sum[0])
+	l := nats(sum[0], sum[1]) / differ
 	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to
 	// send a good build back, the surer the vote has to be.
 	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
@@ -695,8 +685,8 @@
 	return t
 }
 
-// steer bounds what is open by how quickly answers come, against overload, bursts and slow fleets alike, but
-// not below this balancer's even part of two deliveries a unit: below that a fleet idles.
+// steer bounds what is open by how quickly answers come, against overload, bursts and slow fleets alike; not
+// below this balancer's even part of two deliveries a unit, where a fleet idles.
 func (b *Balancer) steer() {
 	least := 2 + 2*float64(b.ready)/float64(b.t.Balancers)
 	b.ratio, b.longest = 0, slices.Max(b.usual)
--- a/policy/state.go
+++ b/policy/state.go
@@ -136,6 +136,17 @@
 	return all - in - out
 }
 
+// with is c and so many times d.
+func (c count) with(d count, times float64) count { return count{c.n + times*d.n, c.bad + times*d.bad} }
+
+// sideOf is the place in a pair of sides: 1 for the trial's.
+func sideOf(trial bool) int {
+	if trial {
+		return 1
+	}
+	return 0
+}
+
 func (c *count) add(bad bool) {
 	c.n++
 	if bad {
