--- a/policy/policy.go
+++ b/policy/policy.go
@@ -73,7 +73,7 @@
 func (b *Balancer) Pick(now float64, c *Command) Step {
 	op := &b.t.Ops[c.Op]
 	if c.Ended || c.Begun {
-		return Step{}
+		return Step{Recall: c.Ended && b.t.Cancel} // nobody waits for what is still out
 	}
 	if len(c.Sent) == 0 && now <= c.Came {
 		b.take(now, c)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -19,7 +19,7 @@
 	fmt.Println(f.pick(&Command{ID: 99, Came: f.now - 0.1, Due: f.now + 2*f.b.t.Round + 1e-10}))
 	// Output:
 	// true nack, back in 1.0 s ahead of the time-out: true not before the target: true
-	// then: nothing
+	// then: recall
 	// nack, back in 1.0 s
 }
 
--- a/wire/host.go
+++ b/wire/host.go
@@ -167,7 +167,7 @@
 	case vanished:
 		if c := x.cmds[rec.u32(5)]; c != nil {
 			c.Ended = true
-			x.forget(c)
+			h.apply(x, c, x.b.Pick(h.now, c))
 		}
 	case elapsed:
 		h.timer(x, rec.u64(5))
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -74,7 +74,7 @@
 		frame(2e3, "", end(41, 0), end(41, 0), cmd(42), rec(vanished, 5, map[int]any{5: uint32(42)}), end(99, 1)),
 		frame(3e3, "", end(42, 1), rec(elapsed, 5, map[int]any{5: uint64(123)}), cmd(43), rec(down, 8, nil))))
 	// Output:
-	// . remind/5:0 remind/5:0 route/5:41 . lose/5:41 route/5:42 . route/5:43 . <nil>
+	// . remind/5:0 remind/5:0 route/5:41 . lose/5:41 route/5:42 recall/5:42 . route/5:43 . <nil>
 }
 
 // Bad input ends the adapter with one plain line.
