Time-outs of clients with little time left say nothing of unit or build (simulated)

A time-out sooner than a delivery would be looked at again is its client's. Covers clients that give up early and late retries.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -431,6 +431,9 @@
 	if r == Cancelled && !c.Ended {
 		r = TimedOut // called off for its unit's silence
 	}
+	if r == TimedOut && took < b.patience(c) {
+		return // its client had little time left: no unit's silence, no build's lateness
+	}
 	bad := r == Errored || r == TimedOut || r == Broken || r == Unconnected
 	if r != TimedOut {
 		u.heard = now
