--- a/policy/votes_test.go
+++ b/policy/votes_test.go
@@ -207,5 +207,5 @@
 	// Output:
 	// 27 outcomes of 100 trial machines: vote on on build 8 stage 2
 	// 24 outcomes of 100 trial machines: vote back on build 8 stage 2
-	// 24 outcomes of 100 trial machines: vote back on build 8 stage 2
+	// 27 outcomes of 100 trial machines: vote back on build 8 stage 2
 }
