No longer wait before on where it would not bring the outcomes lacking (simulated)

Cause: quiet relays see half a trial command a second, waited 5 s for eight outcomes and never had them; six of ten have to stand for on. Harm: a bad build is seen by fewer outcomes before on; the back vote is untouched.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -642,8 +642,11 @@
 		}
 	}
 	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
+	// More time is taken where it would bring the outcomes that are lacking; a balancer that sees little would
+	// wait in vain.
 	wait := onWaitFew
-	if seen >= leastSeen {
+	if more := b.rate(now) * b.heft[1] / (b.heft[0] + b.heft[1]) * (onWaitFew - onWait); seen >= leastSeen ||
+		seen+more < leastSeen {
 		wait = onWait
 	}
 	if b.newer == 0 || now-max(b.newest, b.stageAt) < wait ||
