--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,8 +30,8 @@
 	slack      = 1.5  // a trial answer above slack times that: a build a little slower is still good
 	lagFade    = 0.97 // what is kept of the slow answers' counts at each steering: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
-	leastUsed  = 20.0 // units that a balancer uses at least
-	inIdle     = 0.33 // of the time after which an idle connection is closed, until a unit is used again
+	leastUsed  = 12.0 // units that a balancer uses at least
+	inIdle     = 0.15 // of the time after which an idle connection is closed, until a unit is used again
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
 	rare       = 0.1  // refused among new connections that are nothing unusual
 	failStep   = 0.25 // weight of an outcome in them
@@ -619,13 +619,14 @@
 		return VoteNone
 	}
 	// ln(balancers) guards against the one of many that crosses by chance; where k votes are needed, any k of n
-	// have to: the line is where that is as unlikely. Troubles that make many late at once only share the guard.
+	// have to: the line is where that is as unlikely, half of the 3 nats being for the many looks that each
+	// takes. Troubles that make many late at once only share the guard.
 	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
-	l := max(max(b.excess(wrong), b.excess(failed))*k/(backNats+lnChoose(n, k)),
+	l := max(max(b.excess(wrong), b.excess(failed))/(backNats*(0.5+0.5/k)+lnChoose(n, k)/k),
 		max(b.excess(lost), b.excess(slow))/(backNats+math.Log(n/k)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
-	case l >= 1 || kept && (!b.t.Automatic || l > 0.5):
+	case l >= 1 || kept && (k == 1 && !b.t.Automatic || l > 0.5):
 		return VoteBack
 	case b.t.Automatic && l > 0.5 && b.phase != Released:
 		return VoteHold
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -245,10 +245,10 @@
 	// Output:
 	// 200 acked, 0 met nobody
 	// vote on on build 8 stage 1
-	// 138 acked, 62 met nobody
+	// 150 acked, 50 met nobody
 	// no vote
-	// 164 acked, 36 met nobody
+	// 144 acked, 56 met nobody
 	// vote on on build 8 stage 1
-	// 119 acked, 81 met nobody
+	// 70 acked, 130 met nobody
 	// no vote
 }
