--- a/policy/policy.go
+++ b/policy/policy.go
@@ -255,7 +255,7 @@
 		b.sides[i], b.heft[i] = b.sides[i][:0], 0
 	}
 	for _, u := range b.units {
-		if i := sideOf(b.onTrial(u.build)); u.ready {
+		if i := one(b.onTrial(u.build)); u.ready {
 			b.sides[i] = append(b.sides[i], u)
 			b.heft[i] += u.heft * b.ramp(now, u) * (1 - b.failing(now, u)/2)
 		}
@@ -265,11 +265,12 @@
 	}
 }
 
-// choose takes the build by its share of the list, unless this balancer has voted it back, and the better of
-// two random choices within it; the other build where none can take the command.
+// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (one that
+// waits for others goes on being tested), and the better of two random choices within it; the other build
+// where none can take the command.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	first, second := b.sides[1], b.sides[0]
-	if b.standing.verdict == VoteBack && b.standing.build == b.build ||
+	if b.t.BackVotes <= 1 && b.standing.verdict == VoteBack && b.standing.build == b.build ||
 		b.chance() >= b.heft[1]/(b.heft[0]+b.heft[1]) {
 		first, second = second, first
 	}
@@ -524,7 +525,7 @@
 	var side [2][]count
 	var sum, few [2]count
 	for _, s := range b.samples {
-		i := sideOf(s.build == b.build)
+		i := one(s.build == b.build)
 		// A machine met too seldom to be told from the rest can't say much alone either: such count together.
 		if c := s.of[kind]; c.n < leastPart {
 			few[i] = few[i].with(c, 1)
@@ -543,10 +544,8 @@
 		skip := min(len(list)/2, (len(list)+3)/4)
 		if kind == failed {
 			skip = min(max(0, len(list)-1), max(2, skip))
-		} else if kind == wrong && len(list) > 0 && 2*list[0].bad <= sum[i].bad {
-			skip = 0
 		} else if kind == wrong {
-			skip = min(1, skip)
+			skip = one(i == 1 && len(list) > 1 && 2*list[0].bad > sum[i].bad)
 		} else if i == 1 && kind == slow {
 			skip = len(list) / 2
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,9 +139,9 @@
 // with is c and so many times d.
 func (c count) with(d count, times float64) count { return count{c.n + times*d.n, c.bad + times*d.bad} }
 
-// sideOf is the place in a pair of sides: 1 for the trial's.
-func sideOf(trial bool) int {
-	if trial {
+// one is 1 for true, such as the place of the trial side in a pair.
+func one(yes bool) int {
+	if yes {
 		return 1
 	}
 	return 0
