--- a/policy/policy.go
+++ b/policy/policy.go
@@ -71,6 +71,7 @@
 // Pick says where to send a command, or not yet, or never. It is asked when a command comes, when a step's
 // Again is reached, and by After.
 func (b *Balancer) Pick(now float64, c *Command) Step {
+	b.wake(now)
 	op := &b.t.Ops[c.Op]
 	if c.Ended || c.Begun {
 		return Step{Recall: c.Ended && b.t.Cancel} // nobody waits for what is still out
@@ -78,12 +79,7 @@
 	if len(c.Sent) == 0 && now <= c.Came {
 		b.take(now, c)
 	}
-	outs := 0
-	for _, d := range c.Sent {
-		if d.Out {
-			outs++
-		}
-	}
+	outs := c.outs()
 	if outs > 0 && !b.silent(now, c) {
 		return Step{Again: now + b.patience(c)}
 	}
@@ -139,6 +135,15 @@
 	return s
 }
 
+// wake notes that this balancer has stood still itself, since it missed its periodic work: what it finds then
+// came meanwhile, and how late that is says nothing of any unit.
+func (b *Balancer) wake(now float64) {
+	if now-b.seen > 3*check {
+		b.woke = now
+	}
+	b.seen = now
+}
+
 // patience is how long a delivery is left alone: some usual answer times, by the work it is said to need.
 func (b *Balancer) patience(c *Command) float64 {
 	if b.usual[c.Op] == 0 {
@@ -152,7 +157,7 @@
 	for _, d := range c.Sent {
 		// A unit that has nothing else out has been given no other chance to be heard: it gets more time.
 		u := b.byID[d.Unit]
-		if d.Out && (u.heard > d.At || now < d.At+b.patience(c)*(1+1/float64(u.open))-1e-6) {
+		if d.Out && (u.heard > d.At || now < max(d.At, b.woke)+b.patience(c)*(1+1/float64(u.open))-1e-6) {
 			return false
 		}
 	}
@@ -375,18 +380,9 @@
 	return sum <= max(2*c.Work, coldPart*b.t.FallFactor*0.5*r*fair)
 }
 
-// rate is how many commands a second came lately.
-func (b *Balancer) rate(now float64) float64 {
-	n := 0
-	for i := range b.taken {
-		b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
-		n += len(b.taken[i])
-	}
-	return float64(n) / b.t.Window
-}
-
 // After says what to do with a command after one of its deliveries, sent to id, ended.
 func (b *Balancer) After(now float64, c *Command, id uint32, r Result, took float64) Step {
+	b.wake(now)
 	u := b.byID[id]
 	b.link(now, u, r)
 	c.Unmet = r == Unconnected || r == Unsent
@@ -432,8 +428,8 @@
 	if r == Cancelled && !c.Ended {
 		r = TimedOut // called off for its unit's silence
 	}
-	if r == TimedOut && took < b.patience(c) {
-		return // its client had little time left: no unit's silence, no build's lateness
+	if r == TimedOut && took < b.patience(c) || now == b.woke && r != Errored {
+		return // its client had little time left, or nobody was here: no unit's silence, no build's lateness
 	}
 	bad := r == Errored || r == TimedOut || r == Broken || r == Unconnected
 	if r != TimedOut {
@@ -659,6 +655,7 @@
 // Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this
 // balancer's vote.
 func (b *Balancer) Wait(now float64) Turn {
+	b.wake(now)
 	t := Turn{In: check}
 	if now-b.steeredAt >= steerIn-b.t.Round {
 		b.steeredAt = now
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -252,3 +252,23 @@
 	// 70 acked, 130 met nobody
 	// no vote
 }
+
+// A balancer that stood still itself finds late answers and time-outs at once: they are nobody's failure.
+func Example_ownPause() {
+	f := newFleet(nil)
+	f.run(40, 2, fine)
+	f.b.Wait(f.now)
+	for _, pause := range []float64{0.2, 1.2} {
+		f.b.units[0].fail = fading{}
+		c, s := f.command(0)
+		u := f.b.byID[s.Unit]
+		f.b.Wait(f.now + 0.09)
+		f.now += 0.1 + pause
+		before := f.b.usual[0]
+		f.answer(c, TimedOut)
+		fmt.Printf("after %.1f s: failing %v, usual time longer %v\n", pause, f.b.failing(f.now, u) > 0, f.b.usual[0] > before)
+	}
+	// Output:
+	// after 0.2 s: failing true, usual time longer true
+	// after 1.2 s: failing false, usual time longer false
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -95,6 +95,7 @@
 	worth   float64 // highest importance
 	hint    float64 // usual work told
 
+	seen, woke      float64 // last asked or told anything; found that it had stood still
 	votedAt, callAt float64
 	steeredAt       float64
 	standing, asked vote
@@ -109,6 +110,24 @@
 	verdict      Verdict
 }
 
+// rate is how many commands a second came lately.
+func (b *Balancer) rate(now float64) float64 {
+	n := 0
+	for i := range b.taken {
+		b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
+		n += len(b.taken[i])
+	}
+	return float64(n) / b.t.Window
+}
+
+// outs is how many of a command's deliveries are out.
+func (c *Command) outs() (n int) {
+	for _, d := range c.Sent {
+		n += one(d.Out)
+	}
+	return n
+}
+
 func (b *Balancer) bucket(op int) int {
 	if b.t.PerOp {
 		return op
