--- a/policy/policy.go
+++ b/policy/policy.go
@@ -614,10 +614,9 @@
 		return VoteNone
 	}
 	// ln(balancers) guards against the one of many that crosses by chance; where k votes are needed, any k of n
-	// have to: the line is where that is as unlikely, half of the 3 nats being for the many looks that each
-	// takes. Troubles that make many late at once only share the guard.
+	// have to: the line is where that is as unlikely. Troubles that make many late at once only share the guard.
 	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
-	l := max(max(b.excess(wrong), b.excess(failed))/(backNats*(0.5+0.5/k)+lnChoose(n, k)/k),
+	l := max(max(b.excess(wrong), b.excess(failed))*k/(backNats+lnChoose(n, k)),
 		max(b.excess(lost), b.excess(slow))/(backNats+math.Log(n/k)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
