--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -293,9 +293,9 @@
 				return Full, 0.01
 			})
 		}
-		fmt.Println(n, "balancers, cold unit's fair part of 50 within a half:", sum >= 20 && sum <= 75)
+		fmt.Println(n, "balancers:", sum)
 	}
 	// Output:
-	// 1 balancers, cold unit's fair part of 50 within a half: true
-	// 100 balancers, cold unit's fair part of 50 within a half: false
+	// 1 balancers: 28
+	// 100 balancers: 4
 }
