--- a/policy/policy.go
+++ b/policy/policy.go
@@ -249,8 +249,14 @@
 		b.ready++
 		b.oldest = min(b.oldest, u.build)
 	}
-	// Where connections are refused, the few that are open decide how late answers are.
-	b.paired = b.newer > 0 && old && b.refusal(now) <= rare
+	// Where connections are refused, the few that are open decide how late answers are, and did before it was seen.
+	refused := b.refusal(now) > rare
+	b.paired = b.newer > 0 && old && !refused
+	for _, s := range b.samples {
+		if refused {
+			s.of[lost], s.of[slow] = count{}, count{}
+		}
+	}
 	// A balancer uses as many units, each balancer others, as its traffic keeps connections open to: to go to
 	// more costs a handshake for each command and a place in everyone's table.
 	part := min(1, max(leastUsed, b.rate(now)*b.t.ConnIdle*inIdle)/float64(max(1, b.ready)))
