--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,8 +30,8 @@
 	slack      = 1.5  // a trial answer above slack times that: a build a little slower is still good
 	lagFade    = 0.97 // what is kept of the slow answers' counts at each steering: load changes with time
 	repeatIn   = 0.02 // s after a failed answer within which a like command is taken for its repeat
-	leastUsed  = 12.0 // units that a balancer uses at least
-	inIdle     = 0.15 // of the time after which an idle connection is closed, until a unit is used again
+	leastUsed  = 8.0  // units that a balancer uses at least
+	inIdle     = 0.08 // of the time after which an idle connection is closed, until a unit is used again
 	failFade   = 4.0  // s in which a unit's failures are forgotten to 1/e
 	rare       = 0.1  // refused among new connections that are nothing unusual
 	failStep   = 0.25 // weight of an outcome in them
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -245,11 +245,11 @@
 	// Output:
 	// 200 acked, 0 met nobody
 	// vote on on build 8 stage 1
-	// 127 acked, 73 met nobody
+	// 179 acked, 21 met nobody
 	// no vote
-	// 147 acked, 53 met nobody
+	// 165 acked, 35 met nobody
 	// vote on on build 8 stage 1
-	// 106 acked, 94 met nobody
+	// 126 acked, 74 met nobody
 	// no vote
 }
 
