--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
 	leastSeen  = 8.0  // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
-	leastBad   = 2.0  // failures among them
+	leastBad   = 3.0  // failures among them, of all the voters needed
 	settle     = 2.0  // s after a start that go uncounted
 	onWait     = 3.6  // s after the newest trial start, with leastSeen outcomes
 	onWaitFew  = 5.0  // s with fewer
@@ -559,7 +559,7 @@
 	if kind == failed {
 		sum = whole
 	}
-	if own || sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad < leastBad {
+	if own || sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad*float64(max(1, b.t.BackVotes)) < leastBad {
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / differ
