--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,7 @@
 	steerIn    = 0.25 // s between two changes of the open limit
 	voteAgain  = 0.5  // s until a vote that did not count is cast again
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
-	leastSeen  = 8.0  // trial outcomes before a back vote
+	leastSeen  = 20.0 // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
 	leastBad   = 3.0  // failures among them, of all the voters needed
 	settle     = 2.0  // s after a start that go uncounted
@@ -559,7 +559,8 @@
 	if kind == failed {
 		sum = whole
 	}
-	if own || sum[0].n == 0 || sum[1].n < leastSeen || sum[1].bad*float64(max(1, b.t.BackVotes)) < leastBad {
+	voters := float64(max(1, b.t.BackVotes))
+	if own || sum[0].n == 0 || sum[1].n*voters < leastSeen || sum[1].bad*voters < leastBad {
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / differ
