--- a/policy/api.go
+++ b/policy/api.go
@@ -56,6 +56,7 @@
 
 type OpType struct {
 	Target     float64 // service target
+	Timeout    float64 // a client's time for all its tries
 	Importance float64
 	Effect     Effect
 	Group      Group
@@ -69,6 +70,7 @@
 	Op     int
 	Key    uint64
 	Came   float64
+	Asked  float64 // when its client first asked, as far as can be told; set by Pick
 	Due    float64 // when the client gives up
 	Work   float64 // expected work, 0 if not told
 	Repeat bool    // the client says that it asks again
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,7 +59,7 @@
 	b := &Balancer{t: t, seed: seed, hash: fnv.New64a(), byID: map[uint32]*unit{}, answered: map[uint64]int{}}
 	b.taken, b.tried = make([][]float64, len(t.Ops)), make([][]float64, len(t.Ops))
 	b.usual, b.plain = make([]float64, len(t.Ops)), make([]float64, len(t.Ops))
-	b.missed = make([]float64, len(t.Ops))
+	b.missed, b.given = make([]float64, len(t.Ops)), make([]majority, len(t.Ops))
 	for i, op := range t.Ops {
 		b.missed[i] = math.Inf(-1)
 		b.worth = max(b.worth, op.Importance)
@@ -85,7 +85,9 @@
 	}
 	further := len(c.Sent) > 0
 	// Half a round early: a hair before the end a held command would be asked about for ever.
-	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target
+	// Under load nothing goes to a client that asks again after its first try's target has passed.
+	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target ||
+		b.ratio > hopeful && !further && now-c.Asked >= op.Target
 	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 && !c.Unmet {
 		return b.end(now, c, outs)
 	}
@@ -93,13 +95,13 @@
 		return Step{Recall: b.t.Cancel}
 	}
 	// What is said to be too heavy to be answered in time would only take its unit from others.
-	if c.Work > hopeless && b.usual[c.Op]*(1+c.Work)/2 > c.Came+op.Target-now {
+	if c.Work > hopeless && b.usual[c.Op]*(1+c.Work)/2 > c.Asked+op.Target-now {
 		return b.end(now, c, outs)
 	}
 	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
 	// Overload: what is open is bounded; the less important waits, then is nacked.
 	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
-		if now-c.Came+2*b.usual[c.Op] > op.Target {
+		if now-c.Asked+2*b.usual[c.Op] > op.Target {
 			return b.end(now, c, outs)
 		}
 		return hold
@@ -127,7 +129,7 @@
 	}
 	u.credit -= c.Work
 	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*b.t.Round}
-	if look := now + b.patience(c); op.Effect != AtMostOnce && look < c.Came+op.Target {
+	if look := now + b.patience(c); op.Effect != AtMostOnce && look < c.Asked+op.Target {
 		s.Again = look
 	}
 	return s
@@ -174,6 +176,12 @@
 	} else {
 		c.Work = 1
 	}
+	// Most tries are given one time. What is given another, and enough, is a later try: its client gives up a
+	// command timeout after it first asked.
+	op, given := &b.t.Ops[c.Op], c.Due-c.Came
+	if c.Asked = now; !b.given[c.Op].most(given) && given > op.Target {
+		c.Asked = c.Due - op.Timeout
+	}
 	// One caller's instant repeats are one failure, not many.
 	c.Repeat = c.Repeat || now-b.missed[c.Op] <= repeatIn
 }
@@ -195,7 +203,7 @@
 	return true
 }
 
-// end gives a command its final answer at once, a nack where a retry is harmless, unless a delivery is still out.
+// end gives a command its final answer at once, a nack where a retry is harmless, unless a delivery is out.
 func (b *Balancer) end(now float64, c *Command, outs int) Step {
 	if outs > 0 {
 		return Step{}
@@ -274,9 +282,8 @@
 	}
 }
 
-// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (one that
-// waits for others goes on being tested), and the better of two random choices within it; the other build
-// where none can take the command.
+// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (else it goes
+// on being tested), and the better of two random choices within it; the other build where none can take it.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	first, second := b.sides[1], b.sides[0]
 	if b.t.BackVotes <= 1 && b.standing.verdict == VoteBack && b.standing.build == b.build ||
@@ -469,15 +476,10 @@
 	if !warm || r != Acked && r != TimedOut && r != Full {
 		return
 	}
-	mark := slowMark
-	if u.build == b.build {
-		mark *= slack
-	} else if b.plain[op] == 0 {
-		b.plain[op] = took
-	} else if took > b.plain[op] {
-		b.plain[op] *= 1 + medianStep // a median: slow machines of the earlier build don't move it
-	} else {
-		b.plain[op] *= 1 - medianStep
+	mark := slowMark * slack
+	if u.build < b.build {
+		mark = slowMark
+		median(&b.plain[op], took, medianStep) // slow machines of the earlier build don't move it
 	}
 	if b.plain[op] > 0 {
 		of[slow].add(r == Full || took > mark*b.plain[op])
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -299,3 +299,30 @@
 	// 1 balancers: 28
 	// 100 balancers: 4
 }
+
+// Under load a command whose client first asked longer ago than the target is nacked at once: the time it is given
+// tells. One with hardly any time may as well be an impatient client's first try.
+func Example_laterTries() {
+	f := newFleet(func(t *Terms) { t.Ops[0].Timeout = 1 })
+	f.run(40, 2, fine) // first tries are given 0.8 s
+	for _, ratio := range []float64{0.1, 0.9} {
+		for _, given := range []float64{0.8, 0.75, 0.6, 0.1} {
+			f.b.ratio, f.id = ratio, f.id+1
+			c := &Command{ID: f.id, Came: f.now, Due: f.now + given}
+			s := f.pick(c)
+			fmt.Printf("time over target %.1f, given %.2f s: %v\n", ratio, given, s)
+			if s.Do == Send {
+				f.answer(c, Acked)
+			}
+		}
+	}
+	// Output:
+	// time over target 0.1, given 0.80 s: send
+	// time over target 0.1, given 0.75 s: send
+	// time over target 0.1, given 0.60 s: send
+	// time over target 0.1, given 0.10 s: send
+	// time over target 0.9, given 0.80 s: send
+	// time over target 0.9, given 0.75 s: send
+	// time over target 0.9, given 0.60 s: nack, back in 1.0 s
+	// time over target 0.9, given 0.10 s: send
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -48,6 +48,23 @@
 	}
 }
 
+// majority finds the value that most of a row have, within a hundredth.
+type majority struct{ value, votes float64 }
+
+// most enters a value and tells whether it is the one that most have.
+func (m *majority) most(value float64) bool {
+	same := math.Abs(value-m.value) <= 0.01*m.value
+	switch {
+	case same:
+		m.votes++
+	case m.votes > 0:
+		m.votes--
+	default:
+		m.value, m.votes, same = value, 1, true
+	}
+	return same
+}
+
 type count struct{ n, bad float64 }
 
 // Balancer is one instance's decisions.
@@ -80,10 +97,11 @@
 	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
 	answered map[uint64]int
 
-	usual   []float64 // answer time by op type
-	longest float64   // of them
-	plain   []float64 // the same of warm machines of the earlier build
-	missed  []float64 // when a command of the op type last ended failed
+	usual   []float64  // answer time by op type
+	longest float64    // of them
+	plain   []float64  // the same of warm machines of the earlier build
+	given   []majority // time that tries are given, by op type
+	missed  []float64  // when a command of the op type last ended failed
 	tokens  float64
 
 	refused fading // share of new connections that could not be had lately
@@ -154,6 +172,18 @@
 	return all - in - out
 }
 
+// median moves m by a part of itself towards the middle of the values.
+func median(m *float64, v, step float64) {
+	switch {
+	case *m == 0:
+		*m = v
+	case v > *m:
+		*m *= 1 + step
+	default:
+		*m *= 1 - step
+	}
+}
+
 // with is c and so many times d.
 func (c count) with(d count, times float64) count { return count{c.n + times*d.n, c.bad + times*d.bad} }
 
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -15,7 +15,7 @@
 	"family_info.forward_only=false\nfamily_info.gate_mode=by_count\nfamily_info.replace_mode=replace\n" +
 	"family_info.noes_needed=1\nfamily_info.harm_fee=3\nfamily_info.stale_build_price=0.5\nfamily_info.reported_share=0.2\n" +
 	"family_info.vote_life=10000\nfamily_info.api_timeout=800\nfamily_info.votes_per_s=10\n" +
-	"unheard.of=1\nclasses.count=1\nclasses.0.aim=300\nclasses.0.value=1\n" +
+	"unheard.of=1\nclasses.count=1\nclasses.0.aim=300\nclasses.0.deadline=600\nclasses.0.value=1\n" +
 	"classes.0.semantics=unsafe\nclasses.0.group=all\nclasses.0.key_ttl=0\n"
 
 // rec makes an event: its code, its instance (not for a table) and further fields by offset.
@@ -94,12 +94,12 @@
 	}
 	// Output:
 	// frame cut off in its length
-	// frame of 937 bytes cut off
-	// frame of 937 bytes cut off
+	// frame of 960 bytes cut off
+	// frame of 960 bytes cut off
 	// frame of 4294967295 bytes
 	// frame of 20 bytes holds no 1 records
 	// unknown event code 3
-	// tail reference 0+877 outside a tail of 0 bytes
+	// tail reference 0+900 outside a tail of 0 bytes
 	// setting rules.fall is missing
 	// setting family_info.window is no number: "four"
 	// unknown class 7
--- a/wire/terms.go
+++ b/wire/terms.go
@@ -105,6 +105,7 @@
 		p := fmt.Sprintf("classes.%d.", i)
 		t.Ops = append(t.Ops, policy.OpType{
 			Target:     r.secs(p + "aim"),
+			Timeout:    r.secs(p + "deadline"),
 			Importance: r.num(p + "value"),
 			Effect:     policy.Effect(r.word(p+"semantics", "safe", "keyed", "unsafe")),
 			Group:      policy.Group(r.word(p+"group", "all", "zone", "cell")),
