--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,7 @@
 	retryMost  = 20.0
 	patience   = 3.0  // a delivery is waited for this many usual answer times before another may go
 	hopeful    = 0.45 // usual answer time over service target that the open limit steers for
-	coldPart   = 0.8  // part of the cold budget that is used
+	coldPart   = 0.6  // part of the cold budget that is used, were all warm units full
 	hopeless   = 3.0  // times the usual work, from which a command's chances are looked at by its work
 	holdStep   = 0.02 // s until a held command asks again
 )
@@ -260,10 +260,8 @@
 	// Where connections are refused, the few that are open decide how late answers are, and did before it was seen.
 	refused := b.refusal(now) > rare
 	b.paired = b.newer > 0 && old && !refused
-	for _, s := range b.samples {
-		if refused {
-			s.of[lost], s.of[slow] = count{}, count{}
-		}
+	for i := 0; refused && i < len(b.samples); i++ {
+		b.samples[i].of[lost], b.samples[i].of[slow] = count{}, count{}
 	}
 	// A balancer uses as many units, each balancer others, as its traffic keeps connections open to: to go to
 	// more costs a handshake for each command and a place in everyone's table.
@@ -382,7 +380,7 @@
 		return true
 	}
 	used := float64(len(b.sides[0]) + len(b.sides[1])) // others use other units
-	part := coldPart * b.t.FallFactor * 0.5 * r * b.rate(now) / used
+	part := coldPart * b.t.FallFactor * r * b.rate(now) / used
 	u.credit = min(u.credit+part*(now-u.creditAt), max(1, part*b.t.FallTime))
 	u.creditAt = now
 	return u.credit >= 1
@@ -561,8 +559,10 @@
 	if kind == failed {
 		sum = whole
 	}
+	// Three of the voters needed may bring a failure each, but not of lateness, which comes over many at once.
 	voters := float64(max(1, b.t.BackVotes))
-	if own || sum[0].n == 0 || sum[1].n*voters < leastSeen || sum[1].bad*voters < leastBad {
+	least := [kinds]float64{leastBad / voters, leastBad / voters, leastBad, leastBad}[kind]
+	if own || sum[0].n == 0 || sum[1].n*voters < leastSeen || sum[1].bad < least {
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / differ
@@ -683,7 +683,7 @@
 	fresh := stands && now-b.votedAt < b.t.VoteLife/2
 	if want.verdict == VoteNone && (!stands || b.standing.build != b.build || b.standing.verdict == VoteOn) ||
 		want == b.standing && fresh || over || b.calling || now < b.mute ||
-		now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
+		want.verdict != VoteBack && now-b.callAt < float64(b.t.Balancers)/b.t.VoteRate {
 		return t
 	}
 	b.asked, b.callAt, b.calling = want, now, true
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -296,8 +296,8 @@
 		fmt.Println(n, "balancers:", sum)
 	}
 	// Output:
-	// 1 balancers: 28
-	// 100 balancers: 4
+	// 1 balancers: 41
+	// 100 balancers: 7
 }
 
 // Under load a command whose client first asked longer ago than the target is nacked at once: the time it is given
