--- a/policy/policy.go
+++ b/policy/policy.go
@@ -263,8 +263,8 @@
 	for i := 0; refused && i < len(b.samples); i++ {
 		b.samples[i].of[lost], b.samples[i].of[slow] = count{}, count{}
 	}
-	// A balancer uses as many units, each balancer others, as its traffic keeps connections open to: to go to
-	// more costs a handshake for each command and a place in everyone's table.
+	// A balancer uses as many units, each balancer others, as its traffic keeps connections open to and shows it
+	// something of: more cost a handshake for each command.
 	part := min(1, max(leastUsed, b.rate(now)*b.t.ConnIdle*inIdle)/float64(max(1, b.ready)))
 	for i := range b.sides {
 		b.sides[i], b.heft[i] = b.sides[i][:0], 0
@@ -553,21 +553,22 @@
 		side[i] = list[skip:]
 	}
 	differ := spread(side[0], sum[0])
-	// Errors are the build's where the rest fails about as much: then all count, on both sides. Else they are
-	// machines' own.
+	// Errors are the build's where the rest fails about as much: then all count. Else they are machines' own.
 	own := kind == failed && 4*sum[1].bad*whole[1].n < whole[1].bad*sum[1].n
 	if kind == failed {
 		sum = whole
 	}
-	// Three of the voters needed may bring a failure each, but not of lateness, which comes over many at once.
-	voters := float64(max(1, b.t.BackVotes))
-	least := [kinds]float64{leastBad / voters, leastBad / voters, leastBad, leastBad}[kind]
+	// The voters needed may bring three flags among them.
+	voters, least := float64(max(1, b.t.BackVotes)), leastBad
+	if kind == wrong {
+		least /= voters
+	}
 	if own || sum[0].n == 0 || sum[1].n*voters < leastSeen || sum[1].bad < least {
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / differ
-	// Right answers are flagged too, now and then. The less harm the flags stand for against what it costs to
-	// send a good build back, the surer the vote has to be.
+	// Right answers are flagged too. The less harm the flags stand for against what it costs to send a good build
+	// back, the surer the vote has to be.
 	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
 		l -= max(0, math.Log(b.t.StalePrice/(b.t.HarmPrice*more/b.t.Reported)))
 	}
@@ -618,10 +619,11 @@
 		return VoteNone
 	}
 	// ln(balancers) guards against the one of many that crosses by chance; where k votes are needed, any k of n
-	// have to: the line is where that is as unlikely. Troubles that make many late at once only share the guard.
+	// have to: the line is where that is as unlikely. Clients find wrong answers each for themselves; what fails
+	// or is late troubles many balancers at once, so there they only share the guard.
 	n, k := float64(b.t.Balancers), float64(max(1, b.t.BackVotes))
-	l := max(max(b.excess(wrong), b.excess(failed))*k/(backNats+lnChoose(n, k)),
-		max(b.excess(lost), b.excess(slow))/(backNats+math.Log(n/k)))
+	l := max(b.excess(wrong)*k/(backNats+lnChoose(n, k)),
+		max(b.excess(failed), b.excess(lost), b.excess(slow))/(backNats+math.Log(n/k)))
 	kept := b.standing.verdict == VoteBack && b.standing.build == b.build
 	switch {
 	case l >= 1 || kept && (k == 1 && !b.t.Automatic || l > 0.5):
@@ -641,8 +643,7 @@
 		}
 	}
 	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
-	// More time is taken where it would bring the outcomes that are lacking; a balancer that sees little would
-	// wait in vain.
+	// More time is taken where it would bring the outcomes lacking; who sees little would wait in vain.
 	wait := onWaitFew
 	if more := b.rate(now) * b.heft[1] / (b.heft[0] + b.heft[1]) * (onWaitFew - onWait); seen >= leastSeen ||
 		seen+more < leastSeen {
