--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -120,8 +120,7 @@
 	// no vote
 }
 
-// A delivery whose unit stays silent is called off, or doubled where two may be out; one on a unit that goes on
-// answering others is left alone.
+// What is out at a silent unit is called off, or doubled where two may be out; at a unit that answers it is left.
 func Example_silence() {
 	for _, parallel := range []bool{false, true} {
 		f := newFleet(func(t *Terms) { t.Parallel = parallel })
@@ -178,8 +177,7 @@
 	// importance 5: hold with 6 open
 }
 
-// Units close connections and take few new ones: those that are open are kept to, refusals cost no token and are
-// nobody's failure.
+// Units take few connections: those that are open are kept to; refusals cost no token, are nobody's failure.
 func Example_refusedConnections() {
 	f := newFleet(nil)
 	for i := uint32(0); i < 60; i++ {
@@ -224,8 +222,7 @@
 	// after 1.2 s: failing false
 }
 
-// Rule 4 with many balancers: each one's part is less than a command, and all of them together send a cold unit no
-// more than one that saw all the traffic.
+// Rule 4: many balancers together send a cold unit no more than one that sees all the traffic.
 func Example_coldAmongMany() {
 	for _, n := range []int{1, 100} {
 		sum := 0
@@ -246,8 +243,7 @@
 	// 100 balancers: 5
 }
 
-// Under load a command whose client first asked longer ago than the target is nacked at once: the time it is given
-// tells. One with hardly any time may as well be an impatient client's first try.
+// Under load a command whose client, by the time it is given, first asked longer ago than the target is nacked.
 func Example_laterTries() {
 	f := newFleet(func(t *Terms) { t.Ops[0].Timeout = 1 })
 	f.run(40, 2, fine) // first tries are given 0.8 s
