--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,6 +18,7 @@
 	steerIn    = 0.25 // s between two changes of the open limit
 	voteAgain  = 0.5  // s until a vote that did not count is cast again
 	backNats   = 3.0  // MaxSPRT-AB's threshold before ln(balancers)
+	holdAt     = 0.75 // part of the line from which the clock is held
 	leastSeen  = 20.0 // trial outcomes before a back vote
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
 	leastBad   = 3.0  // failures among them, of all the voters needed
@@ -152,7 +153,7 @@
 	return patience * b.usual[c.Op] * max(1, c.Work)
 }
 
-// silent tells whether what is out has met units that have answered nothing since, not a command that is long.
+// silent tells whether what is out has met units that have answered nothing since.
 func (b *Balancer) silent(now float64, c *Command) bool {
 	for _, d := range c.Sent {
 		// A unit that has nothing else out has been given no other chance to be heard: it gets more time.
@@ -238,8 +239,8 @@
 	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
-// arrange keeps up to date what is asked for each command and vote, so that none walks the fleet: the units of
-// either side, how the traffic parts between them, and whether both builds run side by side.
+// arrange keeps what is asked for each command and vote, so that none walks the fleet: the units of either side,
+// how the traffic parts between them, and whether both builds run side by side.
 func (b *Balancer) arrange(now float64) {
 	b.oldest, b.ready, b.earlier, b.newer, b.newest = math.MaxInt, 0, 0, 0, 0
 	old := false // a machine that a stale list only names answers nothing: it is no company
@@ -257,7 +258,7 @@
 		b.ready++
 		b.oldest = min(b.oldest, u.build)
 	}
-	// Where connections are refused, the few that are open decide how late answers are, and did before it was seen.
+	// Where connections are refused, the few open ones decide who is late, and did before it was seen.
 	refused := b.refusal(now) > rare
 	b.paired = b.newer > 0 && old && !refused
 	for i := 0; refused && i < len(b.samples); i++ {
@@ -280,8 +281,8 @@
 	}
 }
 
-// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (else it goes
-// on being tested), and the better of two random choices within it; the other build where none can take it.
+// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (else it is
+// tested on), and the better of two random choices within it; the other build where none can take the command.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	first, second := b.sides[1], b.sides[0]
 	if b.t.BackVotes <= 1 && b.standing.verdict == VoteBack && b.standing.build == b.build ||
@@ -372,8 +373,8 @@
 }
 
 // warmEnough is rule 4: this balancer's part of what a cold unit may be sent, by what a warm one is sent from
-// here. With many balancers that is less than one command: each starts at a chance part of one, so that the sum
-// over all comes as evenly as one balancer's, and none has a smallest allowance that would add up.
+// here. With many balancers that is less than one command: each starts at a chance part of one, and none has a
+// smallest allowance, which would add up.
 func (b *Balancer) warmEnough(now float64, u *unit) bool {
 	r := b.ramp(now, u)
 	if r >= 1 {
@@ -523,7 +524,7 @@
 	var sum, few [2]count
 	for _, s := range b.samples {
 		i := one(s.build == b.build)
-		// A machine met too seldom to be told from the rest can't say much alone either: such count together.
+		// Machines met too seldom to be told from the rest count together.
 		if c := s.of[kind]; c.n < leastPart {
 			few[i] = few[i].with(c, 1)
 		} else {
@@ -567,8 +568,7 @@
 		return 0
 	}
 	l := nats(sum[0], sum[1]) / differ
-	// Right answers are flagged too. The less harm the flags stand for against what it costs to send a good build
-	// back, the surer the vote has to be.
+	// Right answers are flagged too: the less the harm costs against a good build sent back, the surer the vote.
 	if more := sum[1].bad/sum[1].n - sum[0].bad/sum[0].n; kind == wrong && more > 0 {
 		l -= max(0, math.Log(b.t.StalePrice/(b.t.HarmPrice*more/b.t.Reported)))
 	}
@@ -628,7 +628,7 @@
 	switch {
 	case l >= 1 || kept && (k == 1 && !b.t.Automatic || l > 0.5):
 		return VoteBack
-	case b.t.Automatic && l > 0.5 && b.phase != Released:
+	case b.t.Automatic && l > holdAt && b.phase != Released:
 		return VoteHold
 	case b.t.Automatic || l > 0.5 || b.phase == Released:
 		return VoteNone // the clock moves the stage, or there is doubt
