--- a/policy/policy.go
+++ b/policy/policy.go
@@ -239,8 +239,8 @@
 	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
-// arrange keeps what is asked for each command and vote, so that none walks the fleet: the units of either side,
-// how the traffic parts between them, and whether both builds run side by side.
+// arrange keeps what is asked for each command and vote, so that none walks the fleet: the units of either
+// side, how the traffic parts between them, and whether both builds run side by side.
 func (b *Balancer) arrange(now float64) {
 	b.oldest, b.ready, b.earlier, b.newer, b.newest = math.MaxInt, 0, 0, 0, 0
 	old := false // a machine that a stale list only names answers nothing: it is no company
@@ -281,8 +281,8 @@
 	}
 }
 
-// choose takes the build by its share of the list, unless this balancer's vote alone sends it back (else it is
-// tested on), and the better of two random choices within it; the other build where none can take the command.
+// choose takes the build by its share of the list, unless this balancer's vote alone sends it back, and the
+// better of two random choices within it; the other build where none can take the command.
 func (b *Balancer) choose(now float64, c *Command) *unit {
 	first, second := b.sides[1], b.sides[0]
 	if b.t.BackVotes <= 1 && b.standing.verdict == VoteBack && b.standing.build == b.build ||
@@ -373,8 +373,8 @@
 }
 
 // warmEnough is rule 4: this balancer's part of what a cold unit may be sent, by what a warm one is sent from
-// here. With many balancers that is less than one command: each starts at a chance part of one, and none has a
-// smallest allowance, which would add up.
+// here. With many balancers that is less than one command: each starts at a chance part of one, and none has
+// a smallest allowance, which would add up.
 func (b *Balancer) warmEnough(now float64, u *unit) bool {
 	r := b.ramp(now, u)
 	if r >= 1 {
