--- a/policy/policy.go
+++ b/policy/policy.go
@@ -445,8 +445,8 @@
 	u.fail.add(now, failFade, failStep, bad || r == Full)
 	sent := now - took
 	same := sent >= u.since // it went to this process, not to an earlier one of the id
-	// Warm, and rid of what queued while it was cold: the fuller the fleet, the longer that takes.
-	warm := same && sent-u.since >= b.t.WarmUp*(1+min(1, b.ratio/hopeful))
+	// Warm, and rid of what queued while it was cold: longer in a full fleet, and where few votes decide.
+	warm := same && sent-u.since >= b.t.WarmUp*(1+min(1, b.ratio/hopeful)/float64(max(1, b.t.BackVotes)))
 	size := (1 + c.Work) / 2 // a part of an answer's time goes with the work, a part is waiting
 	if r == Acked || r == TimedOut {
 		if b.usual[op] > 0 {
