--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	leastPart  = 4.0  // a machine's outcomes, before it is one of several
 	leastBad   = 3.0  // failures among them, of all the voters needed
 	settle     = 2.0  // s after a start that go uncounted
-	onWait     = 3.6  // s after the newest trial start, with leastSeen outcomes
+	onWait     = 3.7  // s after the newest trial start, with leastSeen outcomes
 	onWaitFew  = 5.0  // s with fewer
 	onBlind    = 9.0  // s of a stage after which a list that does not show it is no reason to wait
 	slowMark   = 2.0  // an answer is slow above this many times the earlier build's median
