--- /dev/null
+++ b/edge/numbers.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"flintspread/relay"
+)
+
+// numbers gives the relay's counts to Prometheus. They are read when asked for; nothing is counted twice.
+type numbers struct{ relay *relay.Relay }
+
+func metric(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("flintedge_"+name, help, labels, nil)
+}
+
+var (
+	commands   = metric("commands_total", "Commands by final answer; left: the client went first.", "answer")
+	deliveries = metric("deliveries_total", "Deliveries by how they ended.", "result")
+	refused    = metric("refused_total", "Requests and connections that never became commands.", "what")
+	dials      = metric("unit_dials_total", "Connections to units begun.")
+	late       = metric("unit_late_answers_total", "Unit answers after their delivery was given up.")
+	wrong      = metric("wrong_reports_total", "Wrong answers that clients reported.")
+	conns      = metric("connections", "Open connections.", "side")
+	inHand     = metric("commands_in_hand", "Commands without their final answer.")
+	units      = metric("units", "Units known.")
+	listAge    = metric("list_age_seconds", "Time since what the list says was true.")
+	policyTime = metric("policy_seconds_total", "Time spent deciding.")
+	policyCall = metric("policy_calls_total", "Decisions asked for.")
+)
+
+var resultNames = [...]string{"acked", "errored", "full", "timed_out", "unconnected", "broken", "cancelled", "unsent"}
+
+func (n numbers) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(n, ch) }
+
+func (n numbers) Collect(ch chan<- prometheus.Metric) {
+	v := n.relay.Numbers()
+	total := func(d *prometheus.Desc, x float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, x, labels...)
+	}
+	gauge := func(d *prometheus.Desc, x float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, x, labels...)
+	}
+	total(commands, float64(v.Acked), "acked")
+	total(commands, float64(v.Nacked), "nacked")
+	total(commands, float64(v.Failed), "failed")
+	total(commands, float64(v.Left), "left")
+	for i, name := range resultNames {
+		total(deliveries, float64(v.Results[i]), name)
+	}
+	total(refused, float64(v.Refused), "requests")
+	total(refused, float64(v.ClientsRefused), "connections")
+	total(dials, float64(v.Dials))
+	total(late, float64(v.Late))
+	total(wrong, float64(v.Wrong))
+	total(policyTime, v.PolicyTime)
+	total(policyCall, float64(v.PolicyCalls))
+	gauge(conns, float64(v.ClientConns), "clients")
+	gauge(conns, float64(v.UnitConns), "units")
+	gauge(inHand, float64(v.Hands))
+	gauge(units, float64(v.Units))
+	gauge(listAge, v.ListAge)
+}
+
+// admin serves the numbers.
+func (e *Edge) admin() http.Handler {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(numbers{e.relay})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	return mux
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -26,6 +26,8 @@
 	PerOp       bool      // exposure is counted for each op type by itself
 	Guarded     int       // stages that take redeliverable commands only
 	OneWay      bool      // a key that a new build answered never goes to an earlier one
+	Keys        int       // keys remembered for OneWay, 0: all
+	Forget      float64   // s after which a unit that left the list is forgotten, 0: never; more than any timeout
 	Automatic   bool      // the clock moves stages, votes only hold or send back
 	Replace     bool      // earlier machines go as their successors come
 	HarmPrice   float64   // of worth in wrong answers, against StalePrice for worth served by an old build
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
 // The module's decisions, all of them. A caller makes one Balancer for each instance (New), tells it what it
-// hears (ListStart, Listed, ListEnd, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where
+// hears (ListStart, Listed, ListEnd, ListAge, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where
 // to send a command (Pick), what to do after an outcome (After), how long to wait and what to vote meanwhile
 // (Wait). The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here
 // reads a clock, starts a goroutine or knows a name; equal calls give equal answers.
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -308,8 +309,61 @@
 			return false
 		}
 	}
-	return u.ready && (!b.t.OneWay || c.Key == 0 || u.build >= b.answered[c.Key]) &&
-		(!b.onTrial(u.build) || b.room(now, c, u.build) >= 1)
+	return u.ready && b.keyFits(c, u) && (!b.onTrial(u.build) || b.room(now, c, u.build) >= 1)
+}
+
+// keyFits keeps keys one-way: none goes to a build before the one that answered it. What can't be remembered any
+// more must not be answered by a build on trial either.
+func (b *Balancer) keyFits(c *Command, u *unit) bool {
+	if !b.t.OneWay || c.Key == 0 {
+		return true
+	}
+	at, known := b.answered[c.Key]
+	return u.build >= max(at, b.floor) && (known || b.t.Keys == 0 || len(b.answered) < b.t.Keys || !b.onTrial(u.build))
+}
+
+// remember notes which build answered a key. A balancer lives for months: where a released build's keys fill the
+// room for them, all keys are taken for its own, which is what they are about to be.
+func (b *Balancer) remember(key uint64, build int) {
+	if build <= b.floor {
+		return
+	}
+	b.answered[key] = max(b.answered[key], build)
+	if b.t.Keys > 0 && len(b.answered) >= b.t.Keys && b.told && b.phase == Released {
+		b.floor = b.build
+		clear(b.answered)
+	}
+}
+
+// forget drops what only a long life gathers: keys whose build has none before it left (one that comes back gets no
+// keys), and units that left the list long ago. Their counts go on together, as of one machine.
+func (b *Balancer) forget(now float64) {
+	if b.t.Keys > 0 && b.ready > 0 && b.oldest > b.floor {
+		b.floor = b.oldest
+		maps.DeleteFunc(b.answered, func(_ uint64, build int) bool { return build <= b.floor })
+	}
+	gone := func(u *unit) bool { return b.t.Forget > 0 && !u.ready && u.open == 0 && now-u.left > b.t.Forget }
+	if !slices.ContainsFunc(b.units, gone) {
+		return
+	}
+	old := b.samples
+	b.samples = nil
+	for _, s := range old {
+		to := s.unit
+		if u := b.byID[s.unit]; u == nil || gone(u) {
+			to = 0
+		}
+		of := &b.sampleOf(to, s.build).of
+		for i := range of {
+			of[i] = of[i].with(s.of[i], 1)
+		}
+	}
+	b.units = slices.DeleteFunc(b.units, func(u *unit) bool {
+		if gone(u) {
+			delete(b.byID, u.id)
+		}
+		return gone(u)
+	})
 }
 
 func (b *Balancer) twoChoices(now float64, c *Command, group []*unit) *unit {
@@ -400,7 +454,7 @@
 		b.judge(now, c, u, r, took)
 	}
 	if r == Acked && b.t.OneWay && c.Key != 0 {
-		b.answered[c.Key] = max(b.answered[c.Key], u.build)
+		b.remember(c.Key, u.build)
 	}
 	if c.Ended {
 		return Step{Recall: b.t.Cancel}
@@ -595,6 +649,7 @@
 	}
 	if phase == GoingBack || phase == Withdrawn {
 		clear(b.answered)
+		b.floor = 0
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
 	b.arrange(now)
@@ -630,7 +685,7 @@
 		return VoteBack
 	case b.t.Automatic && l > holdAt && b.phase != Released:
 		return VoteHold
-	case b.t.Automatic || l > 0.5 || b.phase == Released:
+	case b.t.Automatic || l > 0.5 || b.phase == Released || b.listAge > onBlind:
 		return VoteNone // the clock moves the stage, or there is doubt
 	}
 	seen, places := 0.0, float64(b.earlier)
@@ -664,6 +719,7 @@
 	if now-b.steeredAt >= steerIn-b.t.Round {
 		b.steeredAt = now
 		b.steer()
+		b.forget(now)
 		b.arrange(now)
 		for _, s := range b.samples {
 			s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
@@ -709,10 +765,18 @@
 	b.peak = b.open
 }
 
+// ListAge tells how long ago what is known of the list was true: on a list that long has shown nothing new, a machine
+// of the trial build may be gone as well as ready, and no on rests on it.
+func (b *Balancer) ListAge(age float64) { b.listAge = age }
+
 // ListEnd closes a list: what a full one does not name is gone.
 func (b *Balancer) ListEnd(now float64) {
 	for _, u := range b.units {
-		u.ready = u.ready && u.known
+		if u.ready = u.ready && u.known; u.ready {
+			u.left = 0
+		} else if u.left == 0 {
+			u.left = now
+		}
 	}
 	b.arrange(now)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,6 +18,7 @@
 	heft, since  float64
 	ready, known bool    // known: named by the list being read
 	before       int     // the build an earlier process or machine of this id ran
+	left         float64 // when it was no longer listed as ready, 0 while it is
 	open         int     // own deliveries out
 	work         float64 // their work
 	heard        float64 // last answer, or first delivery since none was out
@@ -96,6 +97,7 @@
 	taken    [][]float64
 	tried    [][]float64 // trial deliveries; both by op type where the cap counts so
 	answered map[uint64]int
+	floor    int // every key is taken to be answered by this build
 
 	usual   []float64  // answer time by op type
 	longest float64    // of them
@@ -119,6 +121,7 @@
 	calling         bool
 	mute            float64
 	watching        bool
+	listAge         float64
 	watchAt         float64
 }
 
--- /dev/null
+++ b/relay/client.go
@@ -0,0 +1,238 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"time"
+)
+
+// client is one client's connection. Its goroutine reads; the answer is written by whoever has it.
+type client struct {
+	r    *Relay
+	sock socket
+	cmd  *command // in hand, under the relay's lock
+	last bool     // no further command; set before the answer that says so
+	done chan struct{}
+	dead bool // an answer could not be written
+}
+
+func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
+
+// Serve takes connections until the listener is closed.
+func (r *Relay) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			var wait interface{ Temporary() bool }
+			if errors.As(err, &wait) && wait.Temporary() { // no descriptor left: those in hand give some back
+				r.log.Warn("accept", "error", err)
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		cl := &client{r: r, sock: newSocket(nc), done: make(chan struct{}, 1)}
+		r.mu.Lock()
+		full := len(r.clients) >= r.set.Clients.Connections || r.draining
+		if full {
+			r.count.ClientsRefused++
+		} else {
+			r.clients[cl] = struct{}{}
+			r.count.Clients++
+			r.conns.Add(1)
+		}
+		r.mu.Unlock()
+		if full {
+			cl.sock.writeNow(plain(503, "nacked", "too many connections", r.set.Rules.MaxPause).closing().bytes)
+			nc.Close()
+			continue
+		}
+		go cl.serve()
+	}
+}
+
+func (cl *client) serve() {
+	r := cl.r
+	defer r.conns.Done()
+	defer func() {
+		r.mu.Lock()
+		delete(r.clients, cl)
+		r.mu.Unlock()
+		cl.sock.Close()
+	}()
+	g := &gate{from: cl.sock.Conn}
+	br := bufio.NewReaderSize(g, 4096)
+	lim := &r.set.Clients
+	for {
+		g.left = math.MaxInt64
+		cl.sock.SetReadDeadline(time.Now().Add(span(lim.IdleTime)))
+		if _, err := br.Peek(1); err != nil {
+			return
+		}
+		cl.sock.SetReadDeadline(time.Now().Add(span(lim.ReadTime)))
+		req, err := readRequest(br, g, lim.HeadBytes, lim.BodyBytes, func() {
+			cl.sock.writeNow([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		})
+		if err != nil {
+			cl.refuse(err)
+			return
+		}
+		if !cl.handle(br, g, req) || cl.last {
+			return
+		}
+	}
+}
+
+// refuse answers a request that can't be read, and lets its sender see the answer: closing with bytes unread would
+// reset the connection under it.
+func (cl *client) refuse(err error) {
+	var bad *refusal
+	var late net.Error
+	switch {
+	case errors.As(err, &bad):
+	case errors.As(err, &late) && late.Timeout():
+		bad = &refusal{408, fmt.Sprintf("the request took longer than %g s", cl.r.set.Clients.ReadTime)}
+	default:
+		return
+	}
+	cl.r.mu.Lock()
+	cl.r.count.Refused++
+	cl.r.mu.Unlock()
+	cl.sock.writeNow(plain(bad.status, "", bad.what, 0).closing().bytes)
+	if tcp, ok := cl.sock.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	cl.sock.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var sink [4096]byte
+	for range 64 {
+		if _, err := cl.sock.Read(sink[:]); err != nil {
+			return
+		}
+	}
+}
+
+// handle serves one request and tells whether the connection goes on.
+func (cl *client) handle(br *bufio.Reader, g *gate, req *request) bool {
+	r := cl.r
+	if req.last {
+		cl.last = true
+	}
+	if req.path == wrongPath {
+		return cl.direct(wrongAnswer(r.wrong(req.receipt)))
+	}
+	op := r.set.Op(req.method, req.path)
+	if op < 0 {
+		return cl.direct(plain(404, "", "no route for "+req.method+" "+req.path, 0))
+	}
+	if r.set.OpTypes[op].Effect == "deduplicated" && !req.mark {
+		return cl.direct(plain(400, "", "an op type with deduplicated commands needs "+headMark, 0))
+	}
+	cl.sock.SetReadDeadline(time.Time{})
+	g.left = math.MaxInt64
+	c := r.accept(cl, req, op)
+	// Watches for the client's going while the command is in hand. More bytes are its next request; they wait.
+	_, gone := br.Peek(1)
+	if gone != nil && r.left(c) {
+		return false
+	}
+	<-cl.done
+	return gone == nil && !cl.dead
+}
+
+func wrongAnswer(err error) answer {
+	if err != nil {
+		return plain(400, "", err.Error(), 0)
+	}
+	return plain(200, "", "noted", 0)
+}
+
+// direct writes an answer to what was no command.
+func (cl *client) direct(ans answer) bool {
+	cl.r.mu.Lock()
+	cl.r.count.Refused++
+	cl.r.mu.Unlock()
+	cl.reply(ans)
+	<-cl.done
+	return !cl.dead
+}
+
+// reply writes an answer without waiting; what the kernel does not take at once goes on by itself for as long as a
+// request may take to come.
+func (cl *client) reply(ans answer) {
+	if cl.last {
+		ans = ans.closing()
+	}
+	// From here on the connection is idle, also for the read that watches it.
+	cl.sock.SetReadDeadline(time.Now().Add(span(cl.r.set.Clients.IdleTime)))
+	n, err := cl.sock.writeNow(ans.bytes)
+	if err == nil && n < len(ans.bytes) {
+		cl.r.conns.Add(1)
+		go func() {
+			defer cl.r.conns.Done()
+			cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.set.Clients.ReadTime)))
+			_, err := cl.sock.Write(ans.bytes[n:])
+			cl.sock.SetWriteDeadline(time.Time{})
+			cl.answered(err)
+		}()
+		return
+	}
+	cl.answered(err)
+}
+
+func (cl *client) answered(err error) {
+	if cl.dead = err != nil; cl.dead {
+		cl.sock.Close()
+	}
+	cl.done <- struct{}{}
+}
+
+// Drain stops taking commands and waits until those in hand have their answers, or ctx ends. The listener is to be
+// closed before. Connections that have nothing in hand are closed at once.
+func (r *Relay) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	look := time.NewTicker(5 * time.Millisecond)
+	defer look.Stop()
+	for {
+		r.mu.Lock()
+		hands := r.hands
+		for cl := range r.clients {
+			if cl.cmd == nil {
+				cl.sock.SetReadDeadline(time.Now())
+			}
+		}
+		clients := len(r.clients)
+		r.mu.Unlock()
+		if hands == 0 && clients == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%d commands and %d connections left: %w", hands, clients, ctx.Err())
+		case <-look.C:
+		}
+	}
+}
+
+// Close ends every connection and the timer, and waits for their goroutines.
+func (r *Relay) Close() {
+	close(r.stop)
+	r.mu.Lock()
+	r.draining = true
+	for cl := range r.clients {
+		cl.sock.Close()
+	}
+	for uc := range r.units {
+		uc.close()
+	}
+	r.mu.Unlock()
+	r.conns.Wait()
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,423 @@
+// Package relay forwards commands from client connections to unit connections and does what the policy decides. It
+// decides nothing itself: it tells the policy what happened, carries out the answer, and keeps the time.
+//
+// One goroutine serves each connection, on either side, and reads from it; whoever learns what comes next for a
+// command writes for it, without waiting. All calls into the policy, and all that hangs on them, are ordered by one
+// lock (docs/design/relay.md says why it is not an owner goroutine).
+package relay
+
+import (
+	"container/heap"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"flintspread/policy"
+	"flintspread/roster"
+	"flintspread/settings"
+)
+
+// Vote is one that the policy wants cast.
+type Vote struct {
+	Build, Stage int
+	Verdict      policy.Verdict
+}
+
+// Relay is one instance: a policy and the connections it decides about.
+type Relay struct {
+	set  *settings.Edge
+	log  *slog.Logger
+	cast func(Vote) // called without the lock; must not wait
+
+	base  time.Time // on the clock that only goes forward, wall tells when that was
+	wall  float64
+	stop  chan struct{}
+	wake  chan struct{} // the timer is to look again
+	conns sync.WaitGroup
+
+	mu       sync.Mutex // orders the policy's calls; all below is under it
+	b        *policy.Balancer
+	dues     dues
+	timerAt  float64 // what the timer waits for
+	turnAt   float64
+	sweepAt  float64
+	lastID   uint32
+	hands    int // commands in hand
+	pools    map[uint32]*pool
+	units    map[*unitConn]struct{}
+	clients  map[*client]struct{}
+	draining bool
+	listAt   float64 // when what the list says was true
+	count    Numbers
+}
+
+// Numbers counts what a relay did since its start.
+type Numbers struct {
+	Taken, Acked, Nacked, Failed, Left      uint64 // commands; Left: the client went first
+	Refused, Clients, ClientsRefused        uint64 // requests that were no commands; connections
+	Deliveries, Dials, Recalls, Late, Wrong uint64 // Late: answers to deliveries that had been given up
+	Results                                 [8]uint64
+	Hands, ClientConns, UnitConns, Units    int
+	ListAge                                 float64 // s
+	PolicyCalls                             uint64
+	PolicyTime                              float64 // s spent in the policy
+}
+
+// command is one in hand, with what the policy does not need to know.
+type command struct {
+	policy.Command
+	client *client
+	req    *request
+	outs   []*delivery // as long as Sent
+	again  float64     // earliest time to ask the policy again, 0: not
+	next   float64     // earliest of again and the deliveries' ends
+	place  int
+}
+
+// New makes a relay; cast takes the votes.
+func New(set *settings.Edge, seed uint64, log *slog.Logger, cast func(Vote)) *Relay {
+	now := time.Now()
+	r := &Relay{set: set, log: log, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
+		stop: make(chan struct{}), wake: make(chan struct{}, 1),
+		pools: map[uint32]*pool{}, units: map[*unitConn]struct{}{}, clients: map[*client]struct{}{}}
+	r.b = policy.New(set.Terms(), seed, r.wall)
+	r.turnAt, r.listAt = r.wall, r.wall
+	r.conns.Add(1)
+	go r.keepTime()
+	return r
+}
+
+// Now is the relay's clock: s since 1970 as of its start, going forward steadily from there.
+func (r *Relay) Now() float64 { return r.wall + time.Since(r.base).Seconds() }
+
+// List enters a checked line of the unit list.
+func (r *Relay) List(line *roster.Line) {
+	var a acts
+	defer r.do(&a)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	r.listAt = now - line.Age
+	r.b.ListAge(line.Age)
+	if !line.Full && len(line.Units) == 0 {
+		return // nothing changed
+	}
+	r.b.ListStart(line.Full)
+	for _, p := range r.pools {
+		p.listed = p.listed && !line.Full
+	}
+	for _, u := range line.Units {
+		state := policy.Ready
+		switch u.State {
+		case "draining":
+			state = policy.Draining
+		case "gone":
+			state = policy.Gone
+		}
+		r.b.Listed(u.ID, u.Zone, u.Cell, u.Build, state, u.Heft, u.Start)
+		r.listed(u, state, &a)
+	}
+	r.b.ListEnd(now)
+	r.dropPools()
+}
+
+// Stage enters news of the newest build.
+func (r *Relay) Stage(build, stage int, phase policy.Phase, limit, age float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b.Stage(r.Now(), build, stage, phase, limit, age)
+}
+
+// VoteAnswered enters what became of the vote last cast.
+func (r *Relay) VoteAnswered(reply policy.VoteReply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b.VoteAnswered(r.Now(), reply)
+}
+
+// Numbers gives the counts as of now.
+func (r *Relay) Numbers() Numbers {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := r.count
+	n.Hands, n.ClientConns, n.ListAge = r.hands, len(r.clients), r.Now()-r.listAt
+	n.UnitConns, n.Units = len(r.units), len(r.pools)
+	return n
+}
+
+// acts is what is left to do once the lock is given back: connections to close, then messages to write. A connection
+// is closed before the answer that makes it needless goes out, so that nothing of a command follows its answer.
+type acts struct {
+	closes []*unitConn
+	sends  []*delivery
+	answer answer
+	to     *client
+}
+
+// accept takes a command and does the first of what follows. The path of an ordinary command is: accept, Pick, send,
+// serveUnit, arrived, After, the answer.
+func (r *Relay) accept(cl *client, req *request, op int) *command {
+	r.mu.Lock()
+	now := r.Now()
+	r.lastID++
+	c := &command{client: cl, req: req, place: -1, Command: policy.Command{
+		ID: r.lastID, Op: op, Key: req.key, Came: now, Due: now + r.set.OpTypes[op].Timeout, Work: req.work, Repeat: req.repeat}}
+	if req.due > 0 {
+		c.Due = min(c.Due, now+req.due)
+	}
+	cl.cmd = c
+	r.count.Taken++
+	r.hands++
+	var a acts
+	r.apply(now, c, r.pick(now, c), &a)
+	r.mu.Unlock()
+	r.do(&a)
+	return c
+}
+
+// pick asks the policy, and counts the time that takes.
+func (r *Relay) pick(now float64, c *command) policy.Step {
+	from := time.Now()
+	s := r.b.Pick(now, &c.Command)
+	r.spent(from)
+	return s
+}
+
+func (r *Relay) spent(from time.Time) {
+	r.count.PolicyCalls++
+	r.count.PolicyTime += time.Since(from).Seconds()
+}
+
+// apply carries out a step, and what the policy says to what comes of that at once.
+func (r *Relay) apply(now float64, c *command, s policy.Step, a *acts) {
+	if s.Again > 0 && s.Again < c.Due && (c.again == 0 || s.Again < c.again) {
+		c.again = s.Again
+	}
+	switch s.Do {
+	case policy.Send:
+		r.count.Deliveries++
+		d := &delivery{cmd: c, try: len(c.Sent), unit: s.Unit, at: now, until: s.Until}
+		c.Sent = append(c.Sent, policy.Delivery{Unit: s.Unit, At: now, Out: true})
+		c.outs = append(c.outs, d)
+		if !r.carry(d, a) {
+			r.ended(now, d, policy.Unsent, a)
+			return
+		}
+	case policy.Nack:
+		r.count.Nacked++
+		r.finish(c, plain(503, "nacked", "not done; trying again does no harm", s.Pause), a)
+	case policy.Fail:
+		r.count.Failed++
+		status := 502
+		if n := len(c.outs); n > 0 && c.outs[n-1].result == policy.TimedOut {
+			status = 504
+		}
+		r.finish(c, plain(status, "failed", "failed; it may have been done", 0), a)
+	}
+	if s.Recall {
+		for _, d := range c.outs {
+			if c.Sent[d.try].Out {
+				r.count.Recalls++
+				r.ended(now, d, policy.Cancelled, a)
+			}
+		}
+	}
+	r.due(c)
+}
+
+// ended enters how a delivery ended. What can be proved never to have left is told so, whatever ended it.
+func (r *Relay) ended(now float64, d *delivery, result policy.Result, a *acts) {
+	c := d.cmd
+	if !c.Sent[d.try].Out {
+		return
+	}
+	if d.drop() && result != policy.Unconnected && result != policy.Full {
+		result = policy.Unsent
+		if d.conn != nil && d.conn.dialing && !c.Ended {
+			result = policy.Unconnected // there was time, and no connection came of it
+		}
+	}
+	d.result = result
+	r.count.Results[result]++
+	sent := &c.Sent[d.try]
+	sent.Out = false
+	sent.Maybe = result != policy.Unsent && result != policy.Unconnected && result != policy.Full
+	if uc := d.conn; uc != nil {
+		d.conn = nil
+		if uc.cur == d {
+			uc.cur = nil
+			r.drop(uc, a) // something of the command may still be on it
+		}
+	}
+	from := time.Now()
+	s := r.b.After(now, &c.Command, d.unit, result, now-d.at)
+	r.spent(from)
+	r.apply(now, c, s, a)
+}
+
+// finish ends a command with its final answer.
+func (r *Relay) finish(c *command, ans answer, a *acts) {
+	c.Ended = true
+	r.hands--
+	a.answer, a.to = ans, c.client
+	c.client.cmd = nil
+	if r.draining {
+		c.client.last = true
+	}
+}
+
+// due puts a command where its next due time belongs.
+func (r *Relay) due(c *command) {
+	next := 0.0
+	if !c.Ended {
+		next = c.again
+		for _, d := range c.outs {
+			if c.Sent[d.try].Out && (next == 0 || d.until < next) {
+				next = d.until
+			}
+		}
+	}
+	r.dues.set(c, next)
+	if next > 0 && next < r.timerAt {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// do carries out what needs no lock.
+func (r *Relay) do(a *acts) {
+	for _, uc := range a.closes {
+		uc.close()
+	}
+	for _, d := range a.sends {
+		r.send(d)
+	}
+	if a.to != nil {
+		a.to.reply(a.answer)
+	}
+}
+
+// keepTime is the one timer: the policy's periodic work and every command's due times.
+func (r *Relay) keepTime() {
+	defer r.conns.Done()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-timer.C:
+		case <-r.wake:
+		}
+		timer.Reset(r.tick())
+	}
+}
+
+// tick does all that is due and gives the time until the next.
+func (r *Relay) tick() time.Duration {
+	const batch = 64 // commands served before the lock is offered to others
+	for {
+		r.mu.Lock()
+		now := r.Now()
+		var all []acts
+		for len(r.dues) > 0 && r.dues[0].next <= now && len(all) < batch {
+			c := heap.Pop(&r.dues).(*command)
+			var a acts
+			r.overdue(now, c, &a)
+			all = append(all, a)
+		}
+		more := len(all) == batch
+		var vote *Vote
+		if r.turnAt <= now {
+			from := time.Now()
+			r.b.ListAge(now - r.listAt)
+			t := r.b.Wait(now)
+			r.spent(from)
+			r.turnAt = now + t.In
+			if t.Vote {
+				vote = &Vote{t.Build, t.Stage, t.Verdict}
+			}
+		}
+		var idle acts
+		if r.sweepAt <= now {
+			r.sweepAt = now + min(1, r.set.Units.IdleTime/4)
+			r.sweep(now, &idle)
+		}
+		next := min(r.turnAt, r.sweepAt)
+		if len(r.dues) > 0 {
+			next = min(next, r.dues[0].next)
+		}
+		r.timerAt = next
+		r.mu.Unlock()
+		for i := range all {
+			r.do(&all[i])
+		}
+		r.do(&idle)
+		if vote != nil {
+			r.cast(*vote)
+		}
+		if !more {
+			return max(0, time.Duration((next-r.Now())*float64(time.Second)))
+		}
+	}
+}
+
+// overdue looks at a command whose due time has come: deliveries past their end first, then the policy's wish to be
+// asked.
+func (r *Relay) overdue(now float64, c *command, a *acts) {
+	again := c.again
+	if again <= now {
+		c.again = 0
+	}
+	for _, d := range c.outs {
+		if c.Sent[d.try].Out && d.until <= now {
+			r.ended(now, d, policy.TimedOut, a)
+			return // that asked the policy
+		}
+	}
+	if again > 0 && again <= now && !c.Ended {
+		r.apply(now, c, r.pick(now, c), a)
+		return
+	}
+	r.due(c)
+}
+
+// left is told when a client went away. It tells whether its command was still in hand, and so gets no answer.
+func (r *Relay) left(c *command) bool {
+	r.mu.Lock()
+	if c.Ended {
+		r.mu.Unlock()
+		return false
+	}
+	now := r.Now()
+	r.count.Left++
+	r.hands--
+	c.Ended = true
+	c.client.cmd = nil
+	var a acts
+	r.apply(now, c, r.pick(now, c), &a)
+	r.mu.Unlock()
+	r.do(&a)
+	return true
+}
+
+// wrong enters a client's report of a wrong answer, by the receipt that came with the answer.
+func (r *Relay) wrong(receipt string) error {
+	var unit uint32
+	var at float64
+	if _, err := fmt.Sscanf(receipt, "%d-%f", &unit, &at); err != nil {
+		return fmt.Errorf("%s: %q is no receipt", headReceipt, receipt)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	age := r.Now() - at
+	if !(age >= 0 && age < r.set.Rules.UnitsForget) {
+		return fmt.Errorf("%s: %q is not of the last %.0f s", headReceipt, receipt, r.set.Rules.UnitsForget)
+	}
+	r.count.Wrong++
+	r.b.Flagged(r.Now(), unit, age)
+	return nil
+}
--- /dev/null
+++ b/relay/unit.go
@@ -0,0 +1,298 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"flintspread/policy"
+	"flintspread/roster"
+)
+
+// delivery is one sending of a command to a unit.
+type delivery struct {
+	cmd    *command
+	try    int // its place in the command's Sent
+	unit   uint32
+	at     float64
+	until  float64
+	conn   *unitConn // nil once it ended
+	result policy.Result
+	fate   atomic.Int32
+	sentBy *unitConn // as conn, but never changed once given
+}
+
+// A delivery's fate is settled once: whoever takes it from fresh says whether a byte of it may leave. So a delivery
+// that was dropped before provably never ran, and one that is being written may have run.
+const (
+	fresh int32 = iota
+	writing
+	dropped
+)
+
+func (d *delivery) drop() bool  { return d.fate.CompareAndSwap(fresh, dropped) }
+func (d *delivery) begin() bool { return d.fate.CompareAndSwap(fresh, writing) }
+
+// pool is the connections to one unit. Under the relay's lock.
+type pool struct {
+	id     uint32
+	addr   string
+	listed bool
+	idle   []*unitConn // the longest idle first; the latest is used first
+	conns  int
+}
+
+// unitConn is one connection to a unit; its goroutine dials and reads.
+type unitConn struct {
+	pool    *pool
+	cur     *delivery // under the relay's lock, as the next three
+	dialing bool
+	gone    bool
+	since   float64 // idle since
+	sock    atomic.Pointer[socket]
+	shut    atomic.Bool
+}
+
+// close ends the connection, also one that is still to be made.
+func (uc *unitConn) close() {
+	uc.shut.Store(true)
+	if s := uc.sock.Load(); s != nil {
+		s.Close()
+	}
+}
+
+// listed keeps the pools in step with the list.
+func (r *Relay) listed(u roster.Unit, state policy.State, a *acts) {
+	p := r.pools[u.ID]
+	if state == policy.Gone {
+		if p != nil {
+			p.listed = false
+		}
+		return
+	}
+	if p != nil && p.addr != u.Addr {
+		p.listed = false // what is out on the earlier address ends, and its connection with it
+		for len(p.idle) > 0 {
+			r.drop(p.idle[0], a)
+		}
+		p = nil
+	}
+	if p == nil {
+		p = &pool{id: u.ID, addr: u.Addr}
+		r.pools[u.ID] = p
+	}
+	p.listed = true
+}
+
+// dropPools forgets the units that left the list and have no connection any more.
+func (r *Relay) dropPools() {
+	for id, p := range r.pools {
+		if !p.listed && p.conns == 0 {
+			delete(r.pools, id)
+		}
+	}
+}
+
+// sweep closes what has been idle for too long, or leads to a unit that left the list.
+func (r *Relay) sweep(now float64, a *acts) {
+	for _, p := range r.pools {
+		n := 0
+		for n < len(p.idle) && (!p.listed || now-p.idle[n].since > r.set.Units.IdleTime) {
+			n++
+		}
+		for _, uc := range append([]*unitConn(nil), p.idle[:n]...) {
+			r.drop(uc, a)
+		}
+	}
+	r.dropPools()
+}
+
+// drop takes a connection out of its pool for good.
+func (r *Relay) drop(uc *unitConn, a *acts) {
+	if uc.gone {
+		return
+	}
+	uc.gone = true
+	delete(r.units, uc)
+	p := uc.pool
+	p.conns--
+	for i, other := range p.idle {
+		if other == uc {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			break
+		}
+	}
+	a.closes = append(a.closes, uc)
+}
+
+// carry gives a delivery a connection: an idle one or, within the bound, a new one. It tells whether there is one.
+func (r *Relay) carry(d *delivery, a *acts) bool {
+	p := r.pools[d.unit]
+	if p == nil {
+		return false
+	}
+	if n := len(p.idle); n > 0 {
+		uc := p.idle[n-1]
+		p.idle[n-1] = nil
+		p.idle = p.idle[:n-1]
+		uc.cur, d.conn, d.sentBy = d, uc, uc
+		a.sends = append(a.sends, d)
+		return true
+	}
+	if p.conns >= r.set.Units.Connections {
+		return false
+	}
+	p.conns++
+	r.count.Dials++
+	uc := &unitConn{pool: p, cur: d, dialing: true}
+	d.conn, d.sentBy = uc, uc
+	r.units[uc] = struct{}{}
+	r.conns.Add(1)
+	go r.serveUnit(uc)
+	return true
+}
+
+// send writes a delivery to its connection, unless it was dropped meanwhile.
+func (r *Relay) send(d *delivery) {
+	if !d.begin() {
+		return
+	}
+	req := d.cmd.req
+	buf := make([]byte, 0, len(req.head)+len(req.body)+40)
+	buf = append(buf, req.head...)
+	buf = fmt.Appendf(buf, headTime+": %.3f\r\n\r\n", max(0.001, d.until-r.Now()))
+	buf = append(buf, req.body...)
+	s := d.sentBy.sock.Load()
+	n, err := s.writeNow(buf)
+	if err != nil && n == 0 {
+		r.unwritten(d)
+		return
+	}
+	if err == nil && n < len(buf) {
+		// The unit does not read. The rest goes from a goroutine of its own; the delivery's end closes the connection.
+		r.conns.Add(1)
+		go func() {
+			defer r.conns.Done()
+			if _, err := s.Write(buf[n:]); err != nil {
+				s.Close() // its reader tells
+			}
+		}()
+	} else if err != nil {
+		s.Close()
+	}
+}
+
+// unwritten ends a delivery of which the kernel took no byte.
+func (r *Relay) unwritten(d *delivery) {
+	r.mu.Lock()
+	var a acts
+	if c := d.cmd; c.Sent[d.try].Out {
+		d.fate.Store(fresh) // nothing left after all
+		r.ended(r.Now(), d, policy.Unsent, &a)
+	}
+	r.mu.Unlock()
+	r.do(&a)
+}
+
+// serveUnit makes a connection to a unit and reads from it until it ends.
+func (r *Relay) serveUnit(uc *unitConn) {
+	defer r.conns.Done()
+	nc, err := net.DialTimeout("tcp", uc.pool.addr, time.Duration(r.set.Units.DialTime*float64(time.Second)))
+	r.mu.Lock()
+	uc.dialing = false
+	var a acts
+	if err != nil || uc.gone {
+		if d := uc.cur; d != nil {
+			r.ended(r.Now(), d, policy.Unconnected, &a)
+		} else {
+			r.drop(uc, &a)
+		}
+		r.mu.Unlock()
+		if nc != nil {
+			nc.Close()
+		}
+		r.do(&a)
+		return
+	}
+	sock := newSocket(nc)
+	uc.sock.Store(&sock)
+	if uc.cur != nil {
+		a.sends = append(a.sends, uc.cur)
+	}
+	r.mu.Unlock()
+	if uc.shut.Load() {
+		nc.Close()
+	}
+	r.do(&a)
+	g := &gate{from: nc, left: 1}
+	br := bufio.NewReaderSize(g, 4096)
+	for {
+		g.left = 1 << 20
+		_, err := br.Peek(1)
+		r.mu.Lock()
+		d := uc.cur
+		r.mu.Unlock()
+		if err != nil || d == nil { // closed, or an answer nobody asked for
+			r.broken(uc, d)
+			return
+		}
+		ans, status, full, keep, err := readAnswer(br, g, d.cmd.req.method, fmt.Sprintf("%d-%.3f", d.unit, d.at), r.set.Units.AnswerBytes)
+		if err != nil {
+			r.log.Debug("unit's answer", "unit", d.unit, "addr", uc.pool.addr, "error", err)
+			r.broken(uc, d)
+			return
+		}
+		if !r.arrived(uc, d, ans, status, full, keep && br.Buffered() == 0) {
+			nc.Close()
+			return
+		}
+	}
+}
+
+// arrived enters a unit's whole answer and tells whether the connection goes on.
+func (r *Relay) arrived(uc *unitConn, d *delivery, ans answer, status int, full, keep bool) bool {
+	r.mu.Lock()
+	now := r.Now()
+	c := d.cmd
+	if uc.cur != d { // given up while the answer was read
+		r.count.Late++
+		r.mu.Unlock()
+		return false
+	}
+	var a acts
+	uc.cur, d.conn = nil, nil
+	if keep = keep && !uc.gone && uc.pool.listed; keep {
+		uc.since = now
+		uc.pool.idle = append(uc.pool.idle, uc)
+	} else {
+		r.drop(uc, &a)
+	}
+	switch {
+	case full:
+		r.ended(now, d, policy.Full, &a)
+	case status >= 500:
+		r.ended(now, d, policy.Errored, &a)
+	default:
+		r.count.Acked++
+		r.finish(c, ans, &a)
+		r.ended(now, d, policy.Acked, &a)
+	}
+	r.mu.Unlock()
+	r.do(&a)
+	return keep
+}
+
+// broken enters the end of a connection.
+func (r *Relay) broken(uc *unitConn, d *delivery) {
+	r.mu.Lock()
+	var a acts
+	if d != nil && uc.cur == d {
+		r.ended(r.Now(), d, policy.Broken, &a)
+	}
+	r.drop(uc, &a)
+	r.mu.Unlock()
+	uc.close()
+	r.do(&a)
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,169 @@
+// Package roster holds the list of units as the list service tells it, and keeps the last one on disk.
+package roster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Unit is one entry. Addr is empty only where State is "gone".
+type Unit struct {
+	ID    uint32  `json:"id"`    // above 0, never given to another machine
+	Addr  string  `json:"addr"`  // HOST:PORT
+	State string  `json:"state"` // ready, draining or gone
+	Build int     `json:"build"`
+	Zone  uint16  `json:"zone,omitempty"`
+	Cell  uint16  `json:"cell,omitempty"`
+	Heft  float64 `json:"heft,omitempty"`  // relative size, 1 if left out
+	Start float64 `json:"start,omitempty"` // when its process started, s since 1970; 0: long ago
+}
+
+// Line is one line of the list's stream. A full one names every unit there is; else only changes follow. A line
+// without units tells that nothing changed.
+type Line struct {
+	Version uint64  `json:"version"`
+	Full    bool    `json:"full,omitempty"`
+	Age     float64 `json:"age,omitempty"` // s since this was true, as the service reckons
+	Units   []Unit  `json:"units,omitempty"`
+}
+
+const (
+	mostUnits  = 100_000
+	mostBuilds = 1 << 16
+)
+
+// Check refuses a line that can't be meant.
+func (l *Line) Check() error {
+	if len(l.Units) > mostUnits {
+		return fmt.Errorf("%d units; %d at most", len(l.Units), mostUnits)
+	}
+	if !(l.Age >= 0) {
+		return fmt.Errorf("age %v", l.Age)
+	}
+	seen := make(map[uint32]bool, len(l.Units))
+	for i, u := range l.Units {
+		bad := ""
+		switch {
+		case u.ID == 0:
+			bad = "no id"
+		case seen[u.ID]:
+			bad = "named twice"
+		case u.State != "ready" && u.State != "draining" && u.State != "gone":
+			bad = fmt.Sprintf("unknown state %q", u.State)
+		case u.Build < 0 || u.Build >= mostBuilds:
+			bad = fmt.Sprintf("build %d", u.Build)
+		case !(u.Heft >= 0) || !(u.Start >= 0):
+			bad = "heft or start below 0"
+		case u.State != "gone":
+			if _, _, err := net.SplitHostPort(u.Addr); err != nil {
+				bad = fmt.Sprintf("addr %q is no HOST:PORT", u.Addr)
+			}
+		}
+		if bad != "" {
+			return fmt.Errorf("unit %d (entry %d): %s", u.ID, i, bad)
+		}
+		seen[u.ID] = true
+	}
+	return nil
+}
+
+// List is what is known of the units.
+type List struct {
+	Version uint64          `json:"version"`
+	At      float64         `json:"at"` // when it was true, s since 1970
+	Units   map[uint32]Unit `json:"units"`
+}
+
+// Take enters a checked line. An older version than the list's is refused: the stream went backwards.
+func (l *List) Take(line *Line, now float64) error {
+	if line.Version < l.Version && !line.Full {
+		return fmt.Errorf("changes of version %d after version %d", line.Version, l.Version)
+	}
+	if line.Full || l.Units == nil {
+		l.Units = make(map[uint32]Unit, len(line.Units))
+	}
+	for _, u := range line.Units {
+		if u.State == "gone" {
+			delete(l.Units, u.ID)
+		} else {
+			l.Units[u.ID] = u
+		}
+	}
+	if len(l.Units) > mostUnits {
+		return fmt.Errorf("%d units; %d at most", len(l.Units), mostUnits)
+	}
+	l.Version, l.At = line.Version, now-line.Age
+	return nil
+}
+
+// Full gives the whole list as one line, as a start from disk takes it.
+func (l *List) Full(now float64) *Line {
+	line := &Line{Version: l.Version, Full: true, Age: max(0, now-l.At)}
+	for _, u := range l.Units {
+		line.Units = append(line.Units, u)
+	}
+	return line
+}
+
+// Save writes the list so that a kill at any point leaves the old file or the new one, whole.
+func (l *List) Save(file string) (err error) {
+	text, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	dir := filepath.Dir(file)
+	tmp, err := os.CreateTemp(dir, filepath.Base(file)+".new-*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			os.Remove(tmp.Name())
+		}
+	}()
+	_, err = tmp.Write(text)
+	err = errors.Join(err, tmp.Sync(), tmp.Close())
+	if err != nil {
+		return err
+	}
+	if err = os.Rename(tmp.Name(), file); err != nil {
+		return err
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
+
+// Load reads a saved list. No file is no error: the list is empty. A broken file is set aside under a name that says
+// when, and told; the list is empty then too. What a killed save left behind is swept.
+func Load(file string) (*List, error) {
+	if left, _ := filepath.Glob(file + ".new-*"); left != nil {
+		for _, f := range left {
+			os.Remove(f)
+		}
+	}
+	text, err := os.ReadFile(file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return &List{}, nil
+	}
+	if err != nil {
+		return &List{}, err
+	}
+	l := &List{}
+	if err = json.Unmarshal(text, l); err == nil {
+		err = l.Full(l.At).Check()
+	}
+	if err != nil {
+		aside := fmt.Sprintf("%s.bad-%d", file, time.Now().UnixNano())
+		return &List{}, fmt.Errorf("%s: %w; set aside as %s", file, errors.Join(err, os.Rename(file, aside)), aside)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/settings/edge.go
@@ -0,0 +1,207 @@
+// Package settings reads what an edge is told at its start: one EDN file, checked whole before anything listens.
+package settings
+
+import (
+	"fmt"
+	"strings"
+
+	"olympos.io/encoding/edn"
+
+	"flintspread/policy"
+)
+
+// Edge is one edge's file. Times are seconds with fractions, sizes bytes, shares fractions of 1. Nothing has a value
+// of its own in the program: what the file leaves out is an error, but for what is marked optional here.
+type Edge struct {
+	Relay    string   `edn:"relay" validate:"required,printascii,excludesall= "` // its name to list and installer
+	Listen   string   `edn:"listen" validate:"required,hostname_port"`           // where clients connect
+	Admin    string   `edn:"admin" validate:"required,hostname_port"`            // metrics
+	StateDir string   `edn:"state-dir" validate:"required"`
+	Seed     uint64   `edn:"seed"` // optional; 0: drawn anew at each start
+	Log      Log      `edn:"log"`
+	Sources  Sources  `edn:"sources"`
+	Clients  Clients  `edn:"clients"`
+	Units    Units    `edn:"units"`
+	Rules    Rules    `edn:"rules"`
+	Release  Release  `edn:"release"`
+	OpTypes  []OpType `edn:"op-types" validate:"required,min=1,max=256,dive"`
+	Routes   []Route  `edn:"routes" validate:"required,min=1,dive"`
+	file     string
+	places   *places
+	terms    policy.Terms
+	opByName map[string]int
+}
+
+// Log says how the program's own log is written.
+type Log struct {
+	Format edn.Keyword `edn:"format" validate:"oneof=text json"`
+	Level  edn.Keyword `edn:"level" validate:"oneof=debug info warn error"`
+}
+
+// Sources are where the unit list and the news of releases come from.
+type Sources struct {
+	List      string  `edn:"list" validate:"required,http_url"`
+	Installer string  `edn:"installer" validate:"required,http_url"`
+	Silence   float64 `edn:"silence" validate:"gt=0"` // s without a line, after which a stream is taken for broken
+	BackLeast float64 `edn:"back-least" validate:"gt=0"`
+	BackMost  float64 `edn:"back-most" validate:"gtefield=BackLeast"`
+}
+
+// Clients bounds what clients may ask of the edge.
+type Clients struct {
+	Connections int     `edn:"connections" validate:"gt=0"`
+	HeadBytes   int64   `edn:"head-bytes" validate:"gte=1024"`
+	BodyBytes   int64   `edn:"body-bytes" validate:"gte=0"`
+	ReadTime    float64 `edn:"read-time" validate:"gt=0"` // s that a command may take to arrive
+	IdleTime    float64 `edn:"idle-time" validate:"gt=0"`
+	DrainTime   float64 `edn:"drain-time" validate:"gt=0"` // s that a stop waits for what is in hand
+}
+
+// Units bounds the connections to each unit.
+type Units struct {
+	Connections int     `edn:"connections" validate:"gt=0"`
+	DialTime    float64 `edn:"dial-time" validate:"gt=0"`
+	IdleTime    float64 `edn:"idle-time" validate:"gt=0"`
+	AnswerBytes int64   `edn:"answer-bytes" validate:"gt=0"`
+}
+
+// Rules holds the numbers behind the five rules, and what a command may cost.
+type Rules struct {
+	Relays      int     `edn:"relays" validate:"gt=0"`
+	Round       float64 `edn:"round" validate:"gt=0"` // the margin kept before a client's time is up is two to three of it
+	Deliveries  int     `edn:"deliveries" validate:"gt=0,lte=100"`
+	Parallel    bool    `edn:"parallel"` // two deliveries of a command may be out together
+	MaxPause    float64 `edn:"max-pause" validate:"gt=0"`
+	ColdFrom    float64 `edn:"cold-from" validate:"gt=0,lte=1"`
+	WarmUp      float64 `edn:"warm-up" validate:"gte=0"`
+	FallFactor  float64 `edn:"fall-multiple" validate:"gte=1"`
+	FallTime    float64 `edn:"fall-time" validate:"gt=0"`
+	Window      float64 `edn:"window" validate:"gt=0"`
+	Free        float64 `edn:"free" validate:"gte=0"`
+	CountPerOp  bool    `edn:"count-per-op-type"`
+	Guarded     int     `edn:"guarded-stages" validate:"gte=0"`
+	OneWayKeys  bool    `edn:"one-way-keys"`
+	KeysKept    int     `edn:"keys-kept" validate:"gte=0"` // keys remembered for one-way-keys, at most
+	UnitsForget float64 `edn:"forget-units" validate:"gt=0"`
+}
+
+// Release says how builds are offered and what they may cost.
+type Release struct {
+	Stages       []float64 `edn:"stages" validate:"required,min=1,dive,gt=0,lte=1"`
+	Caps         []float64 `edn:"caps" validate:"required,min=1,dive,gte=0,lte=1"`
+	BackVotes    int       `edn:"back-votes" validate:"gt=0"`
+	ByClock      bool      `edn:"by-clock"`
+	Replace      bool      `edn:"replace"`
+	HarmPrice    float64   `edn:"harm-price" validate:"gt=0"`
+	StalePrice   float64   `edn:"stale-price" validate:"gt=0"`
+	ReportShare  float64   `edn:"report-share" validate:"gte=0,lte=1"`
+	VoteLife     float64   `edn:"vote-life" validate:"gt=0"`
+	VoteTimeout  float64   `edn:"vote-timeout" validate:"gt=0"`
+	VotesASecond float64   `edn:"votes-a-second" validate:"gt=0"`
+}
+
+// OpType is one kind of command.
+type OpType struct {
+	Name       string      `edn:"name" validate:"required"`
+	Target     float64     `edn:"target" validate:"gt=0"`
+	Timeout    float64     `edn:"timeout" validate:"gt=0"`
+	Importance float64     `edn:"importance" validate:"gt=0"`
+	Effect     edn.Keyword `edn:"effect" validate:"oneof=redeliverable deduplicated at-most-once"`
+	Group      edn.Keyword `edn:"group" validate:"omitempty,oneof=all zone cell"` // of deduplicated ones
+	Window     float64     `edn:"window" validate:"omitempty,gte=0"`              // of deduplicated ones
+}
+
+// Route gives the op type of the commands of a method whose path begins so; the longest path wins.
+type Route struct {
+	Method string `edn:"method" validate:"required,oneof=GET HEAD POST PUT PATCH DELETE"`
+	Path   string `edn:"path" validate:"required,startswith=/"`
+	OpType string `edn:"op-type" validate:"required"`
+}
+
+// Terms gives the module's part of the file.
+func (e *Edge) Terms() policy.Terms { return e.terms }
+
+// check finds what the fields alone do not show, and fills the module's terms.
+func (e *Edge) check() error {
+	r, rel := e.Rules, e.Release
+	if len(rel.Caps) != len(rel.Stages) {
+		return e.fault(":release :caps", fmt.Sprintf("%d caps for %d stages", len(rel.Caps), len(rel.Stages)))
+	}
+	for i := 1; i < len(rel.Stages); i++ {
+		if rel.Stages[i] < rel.Stages[i-1] {
+			return e.fault(fmt.Sprintf(":release :stages %d", i), "a stage below the one before it")
+		}
+	}
+	if r.Guarded > len(rel.Stages) {
+		return e.fault(":rules :guarded-stages", fmt.Sprintf("%d of %d stages", r.Guarded, len(rel.Stages)))
+	}
+	if r.OneWayKeys && r.KeysKept == 0 {
+		return e.fault(":rules :keys-kept", "one-way keys need room for some")
+	}
+	e.terms = policy.Terms{
+		Balancers: r.Relays, BackVotes: rel.BackVotes, Round: r.Round, Parallel: r.Parallel, Cancel: true,
+		MaxPause: r.MaxPause, ConnIdle: e.Units.IdleTime, Streams: 1, Deliveries: r.Deliveries, ColdFrom: r.ColdFrom,
+		WarmUp: r.WarmUp, FallFactor: r.FallFactor, FallTime: r.FallTime, Window: r.Window, Free: r.Free,
+		Caps: rel.Caps, Stages: rel.Stages, PerOp: r.CountPerOp, Guarded: r.Guarded, OneWay: r.OneWayKeys,
+		Keys: r.KeysKept, Forget: r.UnitsForget, Automatic: rel.ByClock, Replace: rel.Replace,
+		HarmPrice: rel.HarmPrice, StalePrice: rel.StalePrice, Reported: rel.ReportShare, VoteLife: rel.VoteLife,
+		VoteTimeout: rel.VoteTimeout, VoteRate: rel.VotesASecond,
+	}
+	e.opByName = map[string]int{}
+	for i, op := range e.OpTypes {
+		at := fmt.Sprintf(":op-types %d", i)
+		if _, twice := e.opByName[op.Name]; twice {
+			return e.fault(at+" :name", fmt.Sprintf("%q stands twice", op.Name))
+		}
+		e.opByName[op.Name] = i
+		if op.Timeout <= 3*r.Round {
+			return e.fault(at+" :timeout", "not above three rounds (:rules :round): no answer could be in time")
+		}
+		if op.Target > op.Timeout {
+			return e.fault(at+" :target", "above the timeout")
+		}
+		if op.Timeout >= r.UnitsForget {
+			return e.fault(":rules :forget-units", fmt.Sprintf("not above the timeout of %q", op.Name))
+		}
+		o := policy.OpType{Target: op.Target, Timeout: op.Timeout, Importance: op.Importance, Window: op.Window}
+		switch op.Effect {
+		case "deduplicated":
+			o.Effect = policy.Deduplicated
+			if op.Window <= 0 || op.Group == "" {
+				return e.fault(at, "a deduplicated op type needs :group and a :window above 0")
+			}
+		case "at-most-once":
+			o.Effect = policy.AtMostOnce
+		}
+		switch op.Group {
+		case "zone":
+			o.Group = policy.GroupZone
+		case "cell":
+			o.Group = policy.GroupCell
+		}
+		e.terms.Ops = append(e.terms.Ops, o)
+	}
+	for i, route := range e.Routes {
+		at := fmt.Sprintf(":routes %d", i)
+		if _, ok := e.opByName[route.OpType]; !ok {
+			return e.fault(at+" :op-type", fmt.Sprintf("no op type is called %q", route.OpType))
+		}
+		for j, other := range e.Routes[:i] {
+			if other.Method == route.Method && other.Path == route.Path {
+				return e.fault(at+" :path", fmt.Sprintf("the same as :routes %d", j))
+			}
+		}
+	}
+	return nil
+}
+
+// Op gives the op type of a command by the longest route that its path begins with, -1 where there is none.
+func (e *Edge) Op(method, path string) int {
+	best, length := -1, -1
+	for i := range e.Routes {
+		if r := &e.Routes[i]; len(r.Path) > length && r.Method == method && strings.HasPrefix(path, r.Path) {
+			best, length = e.opByName[r.OpType], len(r.Path)
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/settings/read.go
@@ -0,0 +1,232 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+	"olympos.io/encoding/edn"
+)
+
+const mostBytes = 4 << 20 // a longer file is no settings file
+
+// Fault is what is wrong with a file, and where.
+type Fault struct {
+	File string
+	Line int
+	Key  string // the path to it, empty where the text itself is broken
+	What string
+}
+
+func (f *Fault) Error() string {
+	if f.Key == "" {
+		return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.What)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.What)
+}
+
+// ReadEdge reads and checks an edge's file. Every error that lies in the text is a *Fault.
+func ReadEdge(file string) (*Edge, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostBytes {
+		return nil, &Fault{file, 1, "", fmt.Sprintf("%d bytes; %d at most", info.Size(), mostBytes)}
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParseEdge(file, text)
+}
+
+// ParseEdge reads and checks an edge's settings from their text; file is the name that errors give.
+func ParseEdge(file string, text []byte) (*Edge, error) {
+	e := &Edge{file: file}
+	where, err := decode(file, text, e)
+	if err != nil {
+		return nil, err
+	}
+	e.places = where
+	return e, e.check()
+}
+
+// Decode reads one EDN text into a struct with edn and validate tags. A missing, unknown, doubled, mistyped or invalid
+// key is a *Fault.
+func Decode(file string, text []byte, into any) error {
+	_, err := decode(file, text, into)
+	return err
+}
+
+func decode(file string, text []byte, into any) (*places, error) {
+	where, err := findPlaces(string(text))
+	if err != nil {
+		return nil, &Fault{file, where.line, "", err.Error()}
+	}
+	if err := edn.Unmarshal(text, into); err != nil {
+		return nil, mistyped(file, text, where, into, err)
+	}
+	for _, key := range where.keys {
+		if !strings.Contains(key, "#_") && !known(reflect.TypeOf(into).Elem(), strings.Fields(key)) {
+			return nil, &Fault{file, where.of[key], key, "unknown key"}
+		}
+	}
+	// Keys that may be left out say so; the rest must stand in the file, since 0 is a value like any other.
+	if path, line := missing(where, reflect.TypeOf(into).Elem(), ""); path != "" {
+		return nil, &Fault{file, line, path, "missing"}
+	}
+	if err := fields.Struct(into); err != nil {
+		var bad validator.ValidationErrors
+		if !errors.As(err, &bad) {
+			return nil, &Fault{file, 1, "", err.Error()}
+		}
+		path := namespacePath(bad[0].Namespace())
+		return nil, &Fault{file, where.line1(path), path, complaint(bad[0])}
+	}
+	return where, nil
+}
+
+func (e *Edge) fault(path, what string) error {
+	return &Fault{e.file, e.places.line1(path), path, what}
+}
+
+// line1 is the line of a path, or of the nearest thing around it that stands in the text.
+func (p *places) line1(path string) int {
+	for path != "" {
+		if line := p.of[path]; line > 0 {
+			return line
+		}
+		path = path[:max(0, strings.LastIndexByte(path, ' '))]
+	}
+	return 1
+}
+
+var fields = func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("edn") })
+	return v
+}()
+
+var index = regexp.MustCompile(`\[(\d+)\]`)
+
+// namespacePath turns the validator's Edge.op-types[0].target into :op-types 0 :target.
+func namespacePath(s string) string {
+	_, s, _ = strings.Cut(s, ".")
+	var path []string
+	for _, part := range strings.Split(s, ".") {
+		i := index.FindStringSubmatch(part)
+		path = append(path, ":"+index.ReplaceAllString(part, ""))
+		if i != nil {
+			path = append(path, i[1])
+		}
+	}
+	return strings.Join(path, " ")
+}
+
+// complaint words a failed check.
+func complaint(f validator.FieldError) string {
+	words := map[string]string{"gt": "must be above", "gte": "must be at least", "lte": "must be at most", "oneof": "must be one of",
+		"min": "must number at least", "max": "must number at most", "gtefield": "must be at least", "startswith": "must begin with"}
+	switch f.Tag() {
+	case "required":
+		return "must not be empty"
+	case "hostname_port":
+		return fmt.Sprintf("%q is no HOST:PORT", f.Value())
+	case "http_url":
+		return fmt.Sprintf("%q is no http:// address", f.Value())
+	}
+	if w := words[f.Tag()]; w != "" {
+		return fmt.Sprintf("%v %s %s", f.Value(), w, f.Param())
+	}
+	return fmt.Sprintf("%v does not do (%s %s)", f.Value(), f.Tag(), f.Param())
+}
+
+func fieldOf(t reflect.Type, key string) (reflect.StructField, bool) {
+	for i := range t.NumField() {
+		if name, _, _ := strings.Cut(t.Field(i).Tag.Get("edn"), ","); name != "" && ":"+name == key {
+			return t.Field(i), true
+		}
+	}
+	return reflect.StructField{}, false
+}
+
+// known tells whether a path leads to a field.
+func known(t reflect.Type, path []string) bool {
+	for _, part := range path {
+		switch t.Kind() {
+		case reflect.Struct:
+			f, ok := fieldOf(t, part)
+			if !ok {
+				return false
+			}
+			t = f.Type
+		case reflect.Slice:
+			t = t.Elem()
+		case reflect.Map:
+			t = t.Elem()
+		default:
+			return true // below a plain value the decoder has the say
+		}
+	}
+	return true
+}
+
+// missing finds the first field that the text leaves out though it is not optional: those are the fields without a
+// validate tag that are no struct, those with omitempty, and booleans.
+func missing(where *places, t reflect.Type, path string) (string, int) {
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := f.Tag.Get("edn")
+		if name == "" || !f.IsExported() {
+			continue
+		}
+		at := strings.TrimSpace(path + " :" + name)
+		_, stands := where.of[at]
+		must := f.Type.Kind() == reflect.Struct || f.Tag.Get("validate") != "" &&
+			!strings.HasPrefix(f.Tag.Get("validate"), "omitempty")
+		if !stands && must {
+			return at, where.line1(path)
+		}
+		if f.Type.Kind() == reflect.Struct {
+			if p, line := missing(where, f.Type, at); p != "" {
+				return p, line
+			}
+		}
+		for j := 0; f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct; j++ {
+			each := fmt.Sprintf("%s %d", at, j)
+			if where.of[each] == 0 {
+				break
+			}
+			if p, line := missing(where, f.Type.Elem(), each); p != "" {
+				return p, line
+			}
+		}
+	}
+	return "", 0
+}
+
+// mistyped finds which value the decoder would not take, by decoding the text again with one key after the other
+// replaced by nil: the first whose absence lets the decoder go further is the culprit.
+func mistyped(file string, text []byte, where *places, into any, err error) error {
+	what := strings.TrimPrefix(err.Error(), "edn: ")
+	best := ""
+	for _, key := range where.keys[:min(len(where.keys), 2000)] { // each is a decoding of its own
+		value := where.values[key]
+		if value.to <= value.from {
+			continue
+		}
+		trial := append(append(append([]byte(nil), text[:value.from]...), " nil "...), text[value.to:]...)
+		if next := edn.Unmarshal(trial, reflect.New(reflect.TypeOf(into).Elem()).Interface()); next == nil || next.Error() != err.Error() {
+			best = key // the last of nested ones is the nearest
+		}
+	}
+	if best == "" {
+		return &Fault{file, 1, "", what}
+	}
+	return &Fault{file, where.of[best], best, what}
+}
