--- /dev/null
+++ b/day/run.go
@@ -0,0 +1,364 @@
+package day
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"flintspread/audit"
+	"flintspread/standin"
+)
+
+// Outcome is what a day showed.
+type Outcome struct {
+	*audit.Report
+	History []standin.Moment `json:"history"`
+}
+
+// run is a day in play.
+type run struct {
+	script    *Script
+	dir       string
+	edge      string // the program
+	rec       *audit.Record
+	base      time.Time
+	wall      float64
+	from      float64
+	list      *standin.List
+	installer *standin.Installer
+	clients   *standin.Clients
+	relays    []*process
+	control   string // address of list and installer
+	ctx       context.Context
+
+	mu     sync.Mutex
+	nextID uint32
+	units  map[uint32]*standin.Unit
+	errs   []error
+	timers sync.WaitGroup
+}
+
+func (r *run) clock() float64 { return r.wall + time.Since(r.base).Seconds() }
+
+// after does something some seconds from now, unless the day ends before.
+func (r *run) after(secs float64, what func()) {
+	r.timers.Go(func() {
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(time.Duration(secs * float64(time.Second))):
+			what()
+		}
+	})
+}
+
+func (r *run) note(err error) {
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.errs = append(r.errs, err)
+	}
+}
+
+// StartUnit and StopUnit are the installer's hands.
+func (r *run) StartUnit(_, build int) (*standin.Unit, error) {
+	r.mu.Lock()
+	r.nextID++
+	id := r.nextID
+	r.mu.Unlock()
+	does, ok := r.script.Builds[build]
+	if !ok {
+		return nil, fmt.Errorf("no build %d in the script", build)
+	}
+	s, rules := r.script.Units, r.script.Rules
+	u, err := standin.StartUnit(id, build, does, standin.UnitShape{Cores: s.Cores, Queue: s.Queue, ColdFrom: rules.ColdFrom,
+		WarmUp: rules.WarmUp, FallFactor: rules.FallFactor, FallTime: rules.FallTime}, r.rec, r.clock)
+	if err == nil {
+		r.mu.Lock()
+		r.units[id] = u
+		r.mu.Unlock()
+	}
+	return u, err
+}
+
+func (r *run) StopUnit(u *standin.Unit) {
+	u.Stop()
+	r.mu.Lock()
+	delete(r.units, u.ID)
+	r.mu.Unlock()
+}
+
+// Play plays a script with the edge program at a path; files go into dir, which must exist. progress gets a line now and
+// then.
+func Play(script *Script, edge, dir string, progress io.Writer) (*Outcome, error) {
+	now := time.Now()
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	r := &run{script: script, dir: dir, edge: edge, rec: audit.NewRecord(), base: now, wall: float64(now.UnixNano()) / 1e9,
+		ctx: ctx, units: map[uint32]*standin.Unit{}}
+	p, rel := script.Platform, script.Release
+	r.list = standin.NewList(p.ListLag, r.rec, r.clock)
+	first := 1 << 30
+	for b := range script.Builds {
+		first = min(first, b)
+	}
+	var err error
+	r.installer, err = standin.NewInstaller(standin.Plan{Stages: rel.Stages, Caps: rel.Caps, Places: script.Units.Places,
+		StartTime: script.Units.StartTime, DrainTime: script.Units.DrainTime, Bake: p.Bake, OnVotes: p.OnVotes,
+		BackVotes: rel.BackVotes, VoteLife: rel.VoteLife, Delay: p.Delay, Push: p.Push}, first, r, r.list, r.rec, r.clock)
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, u := range r.units {
+			u.Stop()
+		}
+	}()
+	if err := r.serveControl(); err != nil {
+		return nil, err
+	}
+	addrs, names := map[string]string{}, []string{}
+	for i := range script.Relays {
+		p, err := r.newProcess(fmt.Sprintf("r%d", i+1))
+		if err == nil {
+			r.relays = append(r.relays, p)
+			err = p.start()
+		}
+		if err != nil {
+			r.stopRelays()
+			return nil, err
+		}
+		addrs[p.name], names = p.listen, append(names, p.name)
+	}
+	defer r.stopRelays()
+	var ops []standin.OpShape
+	for _, op := range script.OpTypes {
+		method := http.MethodPost
+		if op.Effect == "redeliverable" {
+			method = http.MethodGet
+		}
+		ops = append(ops, standin.OpShape{Name: op.Name, Method: method, Path: "/" + op.Name + "/", Share: op.Share, Work: op.Work,
+			Target: op.Target, Timeout: op.Timeout, Importance: op.Importance, Effect: audit.Effect(op.Effect), Group: string(op.Group),
+			Window: op.Window})
+	}
+	r.clients = standin.NewClients(ops, addrs, names, script.Seed, r.rec, r.clock)
+	r.clients.Change(func(h *standin.Habits) {
+		*h = standin.Habits{Rate: script.Rate, Retries: script.Clients.Retries, AtOnce: script.Clients.AtOnce, Short: script.Clients.Short,
+			Report: rel.ReportShare}
+	})
+	r.from = r.clock()
+	for _, e := range script.Events {
+		r.after(e.At, func() { kinds[e.Do](r, e) })
+	}
+	r.after(0, func() { r.tell(progress) })
+	r.clients.Run(r.from + script.Length)
+	end()
+	r.timers.Wait()
+	r.stopRelays()
+	r.clients.Close()
+	history, err := r.installer.History()
+	r.note(err)
+	for i := range history {
+		history[i].At -= r.from
+	}
+	rules := script.Rules
+	rep := audit.Check(r.rec, audit.Bounds{Slack: p.Slack, Grace: p.Grace, ColdFrom: rules.ColdFrom, WarmUp: rules.WarmUp,
+		FallFactor: rules.FallFactor, FallTime: rules.FallTime, Window: rules.Window, Free: rules.Free, Caps: rel.Caps,
+		PerOp: rules.CountPerOp, Guarded: rules.Guarded, OneWay: rules.OneWayKeys})
+	return &Outcome{rep, history}, errors.Join(r.errs...)
+}
+
+// tell writes a line every few seconds.
+func (r *run) tell(w io.Writer) {
+	told := 0
+	for r.ctx.Err() == nil {
+		h, _ := r.installer.History()
+		for ; told < len(h); told++ {
+			fmt.Fprintf(w, "%5.1f s  %s\n", h[told].At-r.from, h[told].What)
+		}
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// serveControl serves the list and the installer, each relay under a path of its own, and keeps them going.
+func (r *run) serveControl() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.control = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle("GET /{relay}/list", r.list)
+	mux.HandleFunc("GET /{relay}/stage", r.installer.Stage)
+	mux.HandleFunc("POST /{relay}/vote", r.installer.Vote)
+	srv := &http.Server{Handler: mux}
+	go srv.Serve(l)
+	r.timers.Go(func() {
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for r.ctx.Err() == nil {
+			select {
+			case <-r.ctx.Done():
+			case <-tick.C:
+				r.list.Tick()
+				r.installer.Tick()
+			}
+		}
+		srv.Close()
+	})
+	return nil
+}
+
+func (r *run) stopRelays() {
+	for _, p := range r.relays {
+		p.end(syscall.SIGTERM)
+	}
+}
+
+// process is one relay: a name and address that outlive its processes.
+type process struct {
+	r             *run
+	name, listen  string
+	file, logFile string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	life *audit.Life
+}
+
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (r *run) newProcess(name string) (*process, error) {
+	listen, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	admin, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{r: r, name: name, listen: listen, file: filepath.Join(r.dir, name+".edn"), logFile: filepath.Join(r.dir, name+".log")}
+	return p, os.WriteFile(p.file, r.script.edgeFile(name, listen, admin, filepath.Join(r.dir, name), r.control), 0o644)
+}
+
+// start starts a process and waits until it accepts.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil || p.r.ctx.Err() != nil {
+		return nil
+	}
+	log, err := os.OpenFile(p.logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.r.edge, "run", p.file)
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.life = &audit.Life{Relay: p.name, From: p.r.clock()}
+	p.r.rec.Enter(func(r *audit.Record) { r.Lives = append(r.Lives, p.life) })
+	p.cmd = cmd
+	for range 300 {
+		if c, err := net.DialTimeout("tcp", p.listen, 100*time.Millisecond); err == nil {
+			c.Close()
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	text, _ := os.ReadFile(p.logFile)
+	return fmt.Errorf("relay %s does not accept; its log: %s", p.name, bytes.TrimSpace(text))
+}
+
+// end ends the process by a signal and waits for it.
+func (p *process) end(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	if sig == syscall.SIGKILL {
+		p.r.rec.Enter(func(*audit.Record) { p.life.Killed = true })
+	}
+	p.cmd.Process.Signal(sig)
+	err := p.cmd.Wait()
+	p.r.rec.Enter(func(*audit.Record) { p.life.To = p.r.clock() })
+	if err != nil && sig != syscall.SIGKILL {
+		p.r.note(fmt.Errorf("relay %s, stopped: %w (log: %s)", p.name, err, p.logFile))
+	}
+	p.cmd = nil
+}
+
+// stall stops the process and lets it go on.
+func (p *process) stall(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	from := p.r.clock()
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.cmd.Process.Signal(syscall.SIGCONT)
+	p.r.rec.Enter(func(*audit.Record) { p.life.Stalls = append(p.life.Stalls, [2]float64{from, p.r.clock()}) })
+}
+
+// edgeFile writes a relay's settings.
+func (s *Script) edgeFile(name, listen, admin, state, control string) []byte {
+	var b bytes.Buffer
+	r, rel := s.Rules, s.Release
+	fmt.Fprintf(&b, "{:relay %q :listen %q :admin %q :state-dir %q :log {:format :text :level :info} :seed %d\n", name, listen, admin, state, 0)
+	fmt.Fprintf(&b, " :sources {:list \"http://%s/%s/list\" :installer \"http://%s/%s\" :silence 5.0 :back-least 0.05 :back-most 1.0}\n",
+		control, name, control, name)
+	b.WriteString(" :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n")
+	b.WriteString(" :units {:connections 64 :dial-time 0.25 :idle-time 15.0 :answer-bytes 1048576}\n")
+	fmt.Fprintf(&b, " :rules {:relays %d :round %g :deliveries %d :parallel %t :max-pause %g :cold-from %g :warm-up %g :fall-multiple %g"+
+		" :fall-time %g :window %g :free %g :count-per-op-type %t :guarded-stages %d :one-way-keys %t :keys-kept %d :forget-units %g}\n",
+		r.Relays, r.Round, r.Deliveries, r.Parallel, r.MaxPause, r.ColdFrom, r.WarmUp, r.FallFactor, r.FallTime, r.Window, r.Free,
+		r.CountPerOp, r.Guarded, r.OneWayKeys, r.KeysKept, r.UnitsForget)
+	fmt.Fprintf(&b, " :release {:stages %v :caps %v :back-votes %d :by-clock %t :replace %t :harm-price %g :stale-price %g :report-share %g"+
+		" :vote-life %g :vote-timeout %g :votes-a-second %g}\n", rel.Stages, rel.Caps, rel.BackVotes, rel.ByClock, rel.Replace,
+		rel.HarmPrice, rel.StalePrice, rel.ReportShare, rel.VoteLife, rel.VoteTimeout, rel.VotesASecond)
+	b.WriteString(" :op-types [")
+	for _, op := range s.OpTypes {
+		fmt.Fprintf(&b, "{:name %q :target %g :timeout %g :importance %g :effect :%s :window %g", op.Name, op.Target, op.Timeout,
+			op.Importance, string(op.Effect), op.Window)
+		if op.Group != "" {
+			fmt.Fprintf(&b, " :group :%s", string(op.Group))
+		}
+		b.WriteString("}\n")
+	}
+	b.WriteString("]\n :routes [")
+	for _, op := range s.OpTypes {
+		method := "POST"
+		if op.Effect == "redeliverable" {
+			method = "GET"
+		}
+		fmt.Fprintf(&b, "{:method %q :path \"/%s/\" :op-type %q}\n", method, op.Name, op.Name)
+	}
+	b.WriteString("]}\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/day/script.go
@@ -0,0 +1,107 @@
+// Package day plays a scripted day: real edge processes between the stand-ins of package standin, with the troubles that a
+// script names, and the rules checked from what was seen on the sockets.
+package day
+
+import (
+	_ "embed"
+	"fmt"
+	"os"
+	"strings"
+
+	"olympos.io/encoding/edn"
+
+	"flintspread/settings"
+	"flintspread/standin"
+)
+
+// Script is a day's file. Times are seconds from its start, shares fractions of 1.
+type Script struct {
+	Seed     uint64                `edn:"seed" validate:"gte=0"`
+	Length   float64               `edn:"length" validate:"gt=0"`
+	Relays   int                   `edn:"relays" validate:"gt=0,lte=64"`
+	Rate     float64               `edn:"rate" validate:"gt=0"` // commands a second, all relays together
+	Units    Fleet                 `edn:"units"`
+	Clients  Habits                `edn:"clients"`
+	Rules    settings.Rules        `edn:"rules"`
+	Release  settings.Release      `edn:"release"`
+	Platform Platform              `edn:"platform"`
+	OpTypes  []OpType              `edn:"op-types" validate:"required,min=1,dive"`
+	Builds   map[int]standin.Build `edn:"builds" validate:"required"`
+	Events   []Event               `edn:"events"`
+}
+
+// Fleet is the units' part.
+type Fleet struct {
+	Places    int     `edn:"places" validate:"gt=0,lte=1000"`
+	Cores     int     `edn:"cores" validate:"gt=0"`
+	Queue     int     `edn:"queue" validate:"gte=0"`
+	StartTime float64 `edn:"start-time" validate:"gte=0"`
+	DrainTime float64 `edn:"drain-time" validate:"gte=0"`
+}
+
+// Habits is the clients' part.
+type Habits struct {
+	Retries int     `edn:"retries" validate:"gte=0"`
+	AtOnce  bool    `edn:"at-once"`
+	Short   float64 `edn:"short" validate:"gte=0,lte=1"`
+}
+
+// Platform is how the list service and the installer behave.
+type Platform struct {
+	ListLag float64 `edn:"list-lag" validate:"gte=0"`
+	Grace   float64 `edn:"grace" validate:"gt=0"` // of the rules on drains and lower caps
+	Bake    float64 `edn:"bake" validate:"gte=0"`
+	OnVotes int     `edn:"on-votes" validate:"gte=0"`
+	Delay   float64 `edn:"delay" validate:"gte=0"`
+	Push    float64 `edn:"push" validate:"gt=0"`
+	Slack   float64 `edn:"slack" validate:"gt=0"` // what clocks at two sockets may differ by
+}
+
+// OpType is one kind of command, as relays and clients know it.
+type OpType struct {
+	settings.OpType
+	Share float64    `edn:"share" validate:"gt=0,lte=1"`
+	Work  [2]float64 `edn:"work"` // from, to
+}
+
+// Event is one thing that happens. What its fields mean goes by Do.
+type Event struct {
+	At    float64     `edn:"at"`
+	Do    edn.Keyword `edn:"do" validate:"required"`
+	Build int         `edn:"build"`
+	Part  float64     `edn:"part" validate:"omitempty,gte=0,lte=1"` // of the units
+	By    float64     `edn:"by" validate:"omitempty,gte=0"`
+	For   float64     `edn:"for" validate:"omitempty,gte=0"`
+	Relay string      `edn:"relay"`
+}
+
+//go:embed bad-day.edn
+var badDay []byte
+
+// Read reads a script, or the built-in bad day where file is empty.
+func Read(file string) (*Script, error) {
+	text, name := badDay, "built-in day"
+	if file != "" {
+		var err error
+		if text, err = os.ReadFile(file); err != nil {
+			return nil, err
+		}
+		name = file
+	}
+	s := &Script{}
+	if err := settings.Decode(name, text, s); err != nil {
+		return nil, err
+	}
+	for i, e := range s.Events {
+		if _, ok := kinds[e.Do]; !ok {
+			return nil, &settings.Fault{File: name, Line: 1, Key: fmt.Sprintf(":events %d :do", i), What: "unknown trouble :" + string(e.Do)}
+		}
+		if _, ok := s.Builds[e.Build]; e.Do == "offer" && !ok {
+			return nil, &settings.Fault{File: name, Line: 1, Key: fmt.Sprintf(":events %d :build", i), What: "no such build"}
+		}
+		if n := len(e.Relay); n > 0 && !strings.HasPrefix(e.Relay, "r") {
+			return nil, &settings.Fault{File: name, Line: 1, Key: fmt.Sprintf(":events %d :relay", i), What: "relays are called r1, r2 and so on"}
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/day/trouble.go
@@ -0,0 +1,128 @@
+package day
+
+import (
+	"math"
+	"syscall"
+	"time"
+
+	"olympos.io/encoding/edn"
+
+	"flintspread/standin"
+)
+
+// kinds holds what each trouble does. It begins when called and ends by itself.
+var kinds = map[edn.Keyword]func(*run, Event){
+	"offer":           func(r *run, e Event) { r.installer.Offer(e.Build) },
+	"fast-errors":     ail(func(e Event, t *standin.Trouble) { t.Errors = e.By }),
+	"slow":            ail(func(e Event, t *standin.Trouble) { t.Slow = e.By }),
+	"all-slow":        whole(func(e Event, t *standin.Trouble) { t.Slow = e.By }),
+	"closes":          ail(func(e Event, t *standin.Trouble) { t.Closes = e.By }),
+	"few-connections": ail(func(e Event, t *standin.Trouble) { t.Conns = int(e.By) }),
+	"slow-handshake":  ail(func(e Event, t *standin.Trouble) { t.Handshake = e.By }),
+	"heavy-tail":      whole(func(e Event, t *standin.Trouble) { t.Tail = e.By }),
+	"one-sided":       ail(func(e Event, t *standin.Trouble) { t.Silent, t.From = true, e.Relay }),
+	"probes-fail":     ail(func(_ Event, t *standin.Trouble) { t.Probes = true }),
+	"neighbour": func(r *run, e Event) { // a second on, a second off
+		for at := 0.0; at < e.For; at += 2 {
+			r.after(at, func() {
+				ail(func(e Event, t *standin.Trouble) { t.Slow = e.By })(r, Event{Part: e.Part, By: e.By, For: min(1, e.For-at)})
+			})
+		}
+	},
+	"silent": func(r *run, e Event) { // and come back as new processes
+		ail(func(_ Event, t *standin.Trouble) { t.Silent = true })(r, e)
+		places := r.some(e.Part)
+		r.after(e.For, func() {
+			for _, p := range places {
+				r.installer.Restart(p, true)
+			}
+		})
+	},
+	"vanish": func(r *run, e Event) {
+		for _, p := range r.some(e.Part) {
+			r.installer.Restart(p, true)
+		}
+	},
+	"list-stale": func(r *run, e Event) {
+		r.list.Lag(e.By)
+		r.after(e.For, func() { r.list.Lag(r.script.Platform.ListLag) })
+	},
+	"list-down": func(r *run, e Event) {
+		r.list.Down(true)
+		r.after(e.For, func() { r.list.Down(false) })
+	},
+	"installer-still": func(r *run, e Event) {
+		r.installer.Still(true)
+		r.after(e.For, func() { r.installer.Still(false) })
+	},
+	"relay-killed": func(r *run, e Event) {
+		for _, p := range r.relaysOf(e) {
+			p.end(syscall.SIGKILL)
+			r.after(e.For, func() { r.note(p.start()) })
+		}
+	},
+	"relays-rolled": func(r *run, e Event) { // one after the other, each drained
+		for i, p := range r.relays {
+			r.after(e.For*float64(i)/float64(len(r.relays)), func() {
+				p.end(syscall.SIGTERM)
+				r.note(p.start())
+			})
+		}
+	},
+	"relay-stalled": func(r *run, e Event) {
+		for _, p := range r.relaysOf(e) {
+			p.stall(time.Duration(e.For * float64(time.Second)))
+		}
+	},
+	"burst": func(r *run, e Event) {
+		r.clients.Change(func(h *standin.Habits) { h.Rate *= e.By })
+		r.after(e.For, func() { r.clients.Change(func(h *standin.Habits) { h.Rate /= e.By }) })
+	},
+	"hot-caller": func(r *run, e Event) {
+		r.clients.Change(func(h *standin.Habits) { h.Hot, h.HotPart = e.Relay, e.By })
+		r.after(e.For, func() { r.clients.Change(func(h *standin.Habits) { h.Hot = "" }) })
+	},
+	"give-up": func(r *run, e Event) {
+		r.clients.Change(func(h *standin.Habits) { h.Leave = e.By })
+		r.after(e.For, func() { r.clients.Change(func(h *standin.Habits) { h.Leave = 0 }) })
+	},
+}
+
+// ail gives a part of the units a trouble for a while.
+func ail(what func(Event, *standin.Trouble)) func(*run, Event) {
+	return func(r *run, e Event) {
+		var t standin.Trouble
+		what(e, &t)
+		units := r.installer.Units()
+		for _, p := range r.some(e.Part) {
+			u := units[p]
+			u.Ail(t)
+			r.after(e.For, func() { u.Ail(standin.Trouble{}) })
+		}
+	}
+}
+
+func whole(what func(Event, *standin.Trouble)) func(*run, Event) {
+	return func(r *run, e Event) {
+		e.Part = 1
+		ail(what)(r, e)
+	}
+}
+
+// some gives a part of the places, at least one, always the same from the end on: releases begin at the other end.
+func (r *run) some(part float64) (places []int) {
+	n := max(1, int(math.Round(part*float64(r.script.Units.Places))))
+	for i := range n {
+		places = append(places, r.script.Units.Places-1-i)
+	}
+	return places
+}
+
+func (r *run) relaysOf(e Event) []*process {
+	for _, p := range r.relays {
+		if p.name == e.Relay {
+			return []*process{p}
+		}
+	}
+	return r.relays[:1]
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,13 +26,14 @@
 
 // StageLine is one line of the installer's stream, and its reply to a vote.
 type StageLine struct {
-	Build int     `json:"build"`
-	Stage int     `json:"stage"`
-	Phase string  `json:"phase"` // on-trial, going-back, released or withdrawn
-	Cap   float64 `json:"cap"`
-	Age   float64 `json:"age"`             // s that this has lasted
-	Vote  string  `json:"vote,omitempty"`  // in a reply: counted, moot or refused
-	Quiet bool    `json:"quiet,omitempty"` // nothing new; only shows that the stream lives
+	Version uint64  `json:"version"` // grows with every change, also over the installer's restarts
+	Build   int     `json:"build"`
+	Stage   int     `json:"stage"`
+	Phase   string  `json:"phase"` // on-trial, going-back, released or withdrawn
+	Cap     float64 `json:"cap"`
+	Age     float64 `json:"age"`             // s that this has lasted
+	Vote    string  `json:"vote,omitempty"`  // in a reply: counted, moot or refused
+	Quiet   bool    `json:"quiet,omitempty"` // nothing new; only shows that the stream lives
 }
 
 // Ballot is a vote as the installer gets it.
@@ -49,6 +50,8 @@
 
 var verdicts = [...]string{"none", "on", "hold", "back"}
 
+var replyNames = [...]string{"counted", "moot", "refused", "unknown"}
+
 var replies = map[string]policy.VoteReply{"counted": policy.Counted, "moot": policy.Moot, "refused": policy.Refused}
 
 func (l *StageLine) check(stages int) error {
@@ -71,6 +74,9 @@
 	file  string
 	http  *http.Client
 	votes chan relay.Vote
+
+	newsMu sync.Mutex
+	news   uint64 // version of the newest that was taken
 }
 
 // Run serves until ctx ends, then answers what is in hand and returns. An error before anything was served is a reason
@@ -174,9 +180,21 @@
 	if line.Quiet {
 		return nil
 	}
+	return e.stage(line)
+}
+
+// stage takes news that came as a line or as a reply to a vote. What one overtook on the way is old.
+func (e *Edge) stage(line *StageLine) error {
 	if err := line.check(len(e.set.Release.Stages)); err != nil {
 		return err
 	}
+	e.newsMu.Lock()
+	defer e.newsMu.Unlock()
+	if line.Version < e.news {
+		e.log.Info("old news of a release dropped", "version", line.Version, "newest", e.news)
+		return nil
+	}
+	e.news = line.Version
 	e.relay.Stage(line.Build, line.Stage, phases[line.Phase], line.Cap, line.Age)
 	return nil
 }
@@ -198,7 +216,7 @@
 			return
 		case v := <-e.votes:
 			reply, err := e.vote(ctx, v)
-			e.log.Info("vote", "build", v.Build, "stage", v.Stage, "verdict", verdicts[v.Verdict], "reply", reply, "error", err)
+			e.log.Info("vote", "build", v.Build, "stage", v.Stage, "verdict", verdicts[v.Verdict], "reply", replyNames[reply], "error", err)
 			e.relay.VoteAnswered(reply)
 		}
 	}
@@ -234,10 +252,7 @@
 		return policy.Unknown, fmt.Errorf("unknown reply %q", line.Vote)
 	}
 	if reply == policy.Counted && line.Phase != "" {
-		if err := line.check(len(e.set.Release.Stages)); err != nil {
-			return reply, err
-		}
-		e.relay.Stage(line.Build, line.Stage, phases[line.Phase], line.Cap, line.Age)
+		err = e.stage(&line)
 	}
-	return reply, nil
+	return reply, err
 }
--- a/settings/read.go
+++ b/settings/read.go
@@ -119,6 +119,9 @@
 	_, s, _ = strings.Cut(s, ".")
 	var path []string
 	for _, part := range strings.Split(s, ".") {
+		if part[0] >= 'A' && part[0] <= 'Z' {
+			continue // an embedded struct, which no key names
+		}
 		i := index.FindStringSubmatch(part)
 		path = append(path, ":"+index.ReplaceAllString(part, ""))
 		if i != nil {
@@ -147,9 +150,9 @@
 }
 
 func fieldOf(t reflect.Type, key string) (reflect.StructField, bool) {
-	for i := range t.NumField() {
-		if name, _, _ := strings.Cut(t.Field(i).Tag.Get("edn"), ","); name != "" && ":"+name == key {
-			return t.Field(i), true
+	for _, f := range reflect.VisibleFields(t) { // those of embedded structs too
+		if name, _, _ := strings.Cut(f.Tag.Get("edn"), ","); name != "" && ":"+name == key {
+			return f, true
 		}
 	}
 	return reflect.StructField{}, false
@@ -179,8 +182,7 @@
 // missing finds the first field that the text leaves out though it is not optional: those are the fields without a
 // validate tag that are no struct, those with omitempty, and booleans.
 func missing(where *places, t reflect.Type, path string) (string, int) {
-	for i := range t.NumField() {
-		f := t.Field(i)
+	for _, f := range reflect.VisibleFields(t) {
 		name := f.Tag.Get("edn")
 		if name == "" || !f.IsExported() {
 			continue
