--- /dev/null
+++ b/audit/check_test.go
@@ -0,0 +1,155 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+)
+
+var bounds = Bounds{Slack: 0.02, Grace: 1, ColdFrom: 0.25, WarmUp: 4, FallFactor: 2, FallTime: 1, Window: 4, Free: 1, Caps: []float64{0.1, 0.5}}
+
+// scene is a record without fault: a relay, a unit of build 1 and one of build 2, a command for each effect.
+func scene() *Record {
+	r := NewRecord()
+	r.Lives = []*Life{{Relay: "r1", From: 0}}
+	r.Units[1] = &Unit{ID: 1, Build: 1, Start: -100, Capacity: 2}
+	r.Units[2] = &Unit{ID: 2, Build: 2, Start: -100, Capacity: 2, Cell: 1}
+	for i, e := range []Effect{Redeliverable, Deduplicated, AtMostOnce} {
+		id := uint64(i + 1)
+		r.Commands[id] = &Command{ID: id, Relay: "r1", Op: string(e), Effect: e, Group: "cell", Window: 0.5, Key: "k", Importance: 1, Target: 1,
+			First: 10, Asked: 10, Due: 11, Answers: []Answer{{10.1, "acked", 1}}, FinalTry: true}
+		r.Deliveries = append(r.Deliveries, &Delivery{Command: id, Unit: 1, At: 10.01, Work: 0.1})
+	}
+	return r
+}
+
+func show(name string, change func(*Record), edit func(*Bounds)) {
+	r, b := scene(), bounds
+	change(r)
+	if edit != nil {
+		edit(&b)
+	}
+	var broken []string
+	for _, rule := range Check(r, b).Rules {
+		if rule.Broken > 0 {
+			broken = append(broken, fmt.Sprintf("rule %s: %s", rule.Name, rule.First[0]))
+		}
+	}
+	fmt.Println(strings.TrimSpace(name + ": " + strings.Join(broken, "; ")))
+}
+
+// Each rule is seen to be broken, and what only looks like it is not.
+func Example_violations() {
+	show("clean", func(*Record) {}, nil)
+	show("no answer", func(r *Record) { r.Commands[1].Answers = nil }, nil)
+	show("no answer, relay killed", func(r *Record) {
+		r.Commands[1].Answers = nil
+		r.Lives[0].To, r.Lives[0].Killed = 10.5, true
+	}, nil)
+	show("no answer, client left", func(r *Record) { r.Commands[1].Answers, r.Commands[1].Left = nil, 10.2 }, nil)
+	show("two answers", func(r *Record) { r.Commands[1].Answers = []Answer{{10.1, "acked", 1}, {10.2, "failed", 0}} }, nil)
+	show("late answer", func(r *Record) { r.Commands[1].Answers[0].At = 11.1 }, nil)
+	show("late answer, relay stood still", func(r *Record) {
+		r.Commands[1].Answers[0].At = 11.1
+		r.Lives[0].Stalls = [][2]float64{{10.5, 11}}
+	}, nil)
+	show("stray bytes", func(r *Record) { r.Stray = []string{"an answer nobody waited for"} }, nil)
+	show("sent after the answer", func(r *Record) { deliver(r, 1, 1, 10.3) }, nil)
+	show("at-most-once twice", func(r *Record) { r.Commands[3].Answers[0].At = 10.5; deliver(r, 3, 1, 10.3) }, nil)
+	show("at-most-once twice, first never ran", func(r *Record) {
+		r.Commands[3].Answers[0].At = 10.5
+		r.Deliveries[2].Never = 10.02
+		deliver(r, 3, 1, 10.3)
+	}, nil)
+	show("at-most-once nacked", func(r *Record) { r.Commands[3].Answers[0].Kind = "nacked" }, nil)
+	show("deduplicated past its window", func(r *Record) { r.Commands[2].Answers[0].At = 10.9; deliver(r, 2, 1, 10.6) }, nil)
+	show("deduplicated outside its cell", func(r *Record) {
+		r.News = []News{{9, "r1", 2, 1, "released", 1}}
+		r.Commands[2].Answers[0].At = 10.9
+		deliver(r, 2, 2, 10.2)
+	}, nil)
+	drained := func(ready bool) func(*Record) {
+		return func(r *Record) {
+			r.Told = []Told{{8, "r1", 1, false}}
+			if ready {
+				r.Told = append(r.Told, Told{9.5, "r1", 1, true})
+			}
+		}
+	}
+	show("sent to a drained unit", drained(false), nil)
+	show("sent to a unit that came back", drained(true), nil)
+	show("drain told to an earlier life", func(r *Record) {
+		drained(false)(r)
+		r.Lives = []*Life{{Relay: "r1", From: 0, To: 8.5, Killed: true}, {Relay: "r1", From: 9}}
+	}, nil)
+	show("cold unit flooded", func(r *Record) {
+		r.Units[1].Start = 10
+		for i := range 12 {
+			deliver(r, 1, 1, 10.02+float64(i)/1000)
+		}
+		r.Commands[1].Answers[0].At = 10.9
+	}, nil)
+	trial := func(n int, at float64) func(*Record) {
+		return func(r *Record) {
+			r.News = append([]News{{5, "r1", 2, 0, "on-trial", 0.1}}, r.News...)
+			for i := range n {
+				deliver(r, 1, 2, at+float64(i)/100)
+			}
+			r.Commands[1].Answers[0].At = 10.9
+		}
+	}
+	show("one trial delivery", trial(1, 10.1), nil)
+	show("over the cap", trial(2, 10.1), nil)
+	show("over a cap that was lowered within the grace", func(r *Record) {
+		trial(2, 10.1)(r)
+		r.News = []News{{5, "r1", 2, 1, "on-trial", 0.5}, {9.6, "r1", 2, 1, "going-back", 0}}
+	}, nil)
+	show("at cap 0 after the grace", func(r *Record) {
+		trial(1, 10.1)(r)
+		r.News = []News{{5, "r1", 2, 1, "on-trial", 0.5}, {8, "r1", 2, 1, "going-back", 0}}
+	}, nil)
+	show("unannounced", func(r *Record) { trial(2, 10.1)(r); r.News = nil }, nil)
+	show("released", func(r *Record) { trial(5, 10.1)(r); r.News[0].Phase = "released" }, nil)
+	show("guarded stage", func(r *Record) {
+		trial(0, 0)(r)
+		deliver(r, 3, 2, 10.005)
+		r.Deliveries[2].Never = 10.006
+		r.Deliveries[3].Never = 10.006
+	}, func(b *Bounds) { b.Guarded = 1 })
+	show("one-way key", func(r *Record) {
+		trial(1, 10.005)(r)
+		r.Commands[1].Answers[0] = Answer{10.006, "acked", 2}
+		r.Deliveries[1].At = 10.2
+		r.Commands[2].Answers[0].At = 10.3
+	}, func(b *Bounds) { b.OneWay = true })
+	// Output:
+	// clean:
+	// no answer: rule 1 final answer: command 1 to r1 at 10.000 got no answer until 11.000 (connection closed at 0.000)
+	// no answer, relay killed:
+	// no answer, client left:
+	// two answers: rule 1 final answer: command 1 got 2 answers
+	// late answer: rule 1 final answer: command 1 was answered 0.100 s after its client's time
+	// late answer, relay stood still:
+	// stray bytes: rule 1 final answer: an answer nobody waited for
+	// sent after the answer: rule 1 final answer: command 1 was delivered to unit 1 0.200 s after its answer
+	// at-most-once twice: rule 2 effects: at-most-once command 3 went to unit 1, 0.290 s after it may have run on unit 1
+	// at-most-once twice, first never ran:
+	// at-most-once nacked: rule 2 effects: at-most-once command 3 was nacked though it may have run on unit 1
+	// deduplicated past its window: rule 2 effects: deduplicated command 2 was repeated after 0.590 s
+	// deduplicated outside its cell: rule 2 effects: deduplicated command 2 was repeated outside its cell
+	// sent to a drained unit: rule 3 drains: r1 delivered to unit 1 2.010 s after it was told that the unit drains or is gone
+	// sent to a unit that came back:
+	// drain told to an earlier life:
+	// cold unit flooded: rule 4 cold units: unit 1, 0.03 s old, was sent 1.10 s of work within 1.0 s; 1.02 at most
+	// one trial delivery:
+	// over the cap: rule 5 exposure: r1 sent build 2 (stage 0, cap 0.10) 2 deliveries in the window up to 10.110; 1.3 at most of 3 commands
+	// over a cap that was lowered within the grace:
+	// at cap 0 after the grace: rule 5 exposure: r1 delivered to build 2 at cap 0
+	// unannounced: rule 5 exposure: r1 sent build 2 (stage 0, cap 0.10) 2 deliveries in the window up to 10.110; 1.3 at most of 3 commands
+	// released:
+	// guarded stage: rule 5 exposure: r1 sent a at-most-once command to build 2 in guarded stage 0
+	// one-way key: rule 5 exposure: r1 sent key "k" to build 1 after build 2 had answered it
+}
+
+func deliver(r *Record, cmd uint64, unit uint32, at float64) {
+	r.Deliveries = append(r.Deliveries, &Delivery{Command: cmd, Unit: unit, At: at, Work: 0.1})
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -166,11 +166,14 @@
 // reply writes an answer without waiting; what the kernel does not take at once goes on by itself for as long as a
 // request may take to come.
 func (cl *client) reply(ans answer) {
+	// From here on the connection is idle, also for the read that watches it; or that read is to end.
+	until := time.Now()
 	if cl.last {
 		ans = ans.closing()
+	} else {
+		until = until.Add(span(cl.r.set.Clients.IdleTime))
 	}
-	// From here on the connection is idle, also for the read that watches it.
-	cl.sock.SetReadDeadline(time.Now().Add(span(cl.r.set.Clients.IdleTime)))
+	cl.sock.SetReadDeadline(until)
 	n, err := cl.sock.writeNow(ans.bytes)
 	if err == nil && n < len(ans.bytes) {
 		cl.r.conns.Add(1)
--- a/relay/message.go
+++ b/relay/message.go
@@ -41,7 +41,8 @@
 type gate struct {
 	from io.Reader
 	left int64
-	shut bool // a read met the bound
+	shut bool  // a read met the bound
+	err  error // of the connection itself
 }
 
 func (g *gate) Read(p []byte) (int, error) {
@@ -51,9 +52,18 @@
 	}
 	n, err := g.from.Read(p[:min(int64(len(p)), g.left)])
 	g.left -= int64(n)
+	g.err = err
 	return n, err
 }
 
+// blame tells a malformed message from a broken connection, which the parsers report as the former.
+func (g *gate) blame(what string, err error) error {
+	if g.err != nil {
+		return g.err
+	}
+	return &refusal{http.StatusBadRequest, "malformed " + what + ": " + err.Error()}
+}
+
 // request is a command's message as it came.
 type request struct {
 	method, path string
@@ -75,11 +85,7 @@
 		if g.shut {
 			return nil, &refusal{http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("head above %d bytes", headBytes)}
 		}
-		var broken interface{ Timeout() bool }
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken) {
-			return nil, err
-		}
-		return nil, &refusal{http.StatusBadRequest, "malformed request: " + err.Error()}
+		return nil, g.blame("request", err)
 	}
 	g.left = math.MaxInt64
 	if req.ContentLength > bodyBytes {
@@ -98,7 +104,7 @@
 		// Grown as bytes come: a length that is only claimed reserves nothing.
 		out.body, err = io.ReadAll(io.LimitReader(req.Body, bodyBytes+1))
 		if err != nil {
-			return nil, err
+			return nil, g.blame("body", err)
 		}
 		if int64(len(out.body)) > bodyBytes {
 			return nil, &refusal{http.StatusRequestEntityTooLarge, fmt.Sprintf("body above %d bytes", bodyBytes)}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -121,8 +121,8 @@
 // Terms gives the module's part of the file.
 func (e *Edge) Terms() policy.Terms { return e.terms }
 
-// check finds what the fields alone do not show, and fills the module's terms.
-func (e *Edge) check() error {
+// Check finds what the fields alone do not show, and fills the module's terms.
+func (e *Edge) Check() error {
 	r, rel := e.Rules, e.Release
 	if len(rel.Caps) != len(rel.Stages) {
 		return e.fault(":release :caps", fmt.Sprintf("%d caps for %d stages", len(rel.Caps), len(rel.Stages)))
--- a/settings/read.go
+++ b/settings/read.go
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	e.places = where
-	return e, e.check()
+	return e, e.Check()
 }
 
 // Decode reads one EDN text into a struct with edn and validate tags. A missing, unknown, doubled, mistyped or invalid
