--- /dev/null
+++ b/day/day_test.go
@@ -0,0 +1,87 @@
+package day
+
+import (
+	"io"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"flintspread/audit"
+)
+
+// edgeProgram builds the edge that the days are played with.
+func edgeProgram(t *testing.T) string {
+	file := filepath.Join(t.TempDir(), "flintedge")
+	if out, err := exec.Command("go", "build", "-o", file, "flintspread/cmd/flintedge").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return file
+}
+
+// A short day with real processes: all rules kept, though relays die, are rolled, and units fail in four ways; the bad
+// build goes back. That the checker would see a breach is shown in package audit.
+func TestShortDay(t *testing.T) {
+	script, err := Read("short-day.edn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := Play(script, edgeProgram(t), t.TempDir(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range out.Rules {
+		if r.Broken > 0 {
+			t.Errorf("rule %s: %d of %d broken: %s", r.Name, r.Broken, r.Checked, strings.Join(r.First, "; "))
+		}
+		if r.Checked == 0 {
+			t.Errorf("rule %s was never put to the test", r.Name)
+		}
+	}
+	history := ""
+	for _, h := range out.History {
+		history += h.What + "\n"
+	}
+	if !strings.Contains(history, "build 2 goes back") {
+		t.Errorf("the bad build did not go back: %s", history)
+	}
+	if out.Answers["acked"] < out.Asked/2 {
+		t.Errorf("%v of %d tries", out.Answers, out.Asked)
+	}
+}
+
+// The checker is not blind to real traffic: the same record, one delivery told twice, is a breach.
+func TestCheckerSeesTraffic(t *testing.T) {
+	script, err := Read("short-day.edn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	script.Length, script.Events = 1.5, nil
+	file := edgeProgram(t)
+	var rec *audit.Record
+	watch = func(r *audit.Record) { rec = r }
+	defer func() { watch = func(*audit.Record) {} }()
+	if _, err := Play(script, file, t.TempDir(), io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range rec.Deliveries {
+		if c := rec.Commands[d.Command]; c.Effect == audit.AtMostOnce {
+			again := *d
+			again.At += 0.001
+			rec.Deliveries = append(rec.Deliveries, &again)
+			break
+		}
+	}
+	if rep := audit.Check(rec, script.bounds()); rep.Kept() {
+		t.Error("a second delivery went unseen")
+	}
+}
+
+func TestReadScript(t *testing.T) {
+	if _, err := Read(""); err != nil {
+		t.Error(err)
+	}
+	if _, err := Read(filepath.Join(t.TempDir(), "none.edn")); err == nil {
+		t.Error("read nothing")
+	}
+}
--- a/day/run.go
+++ b/day/run.go
@@ -172,11 +172,19 @@
 	for i := range history {
 		history[i].At -= r.from
 	}
-	rules := script.Rules
-	rep := audit.Check(r.rec, audit.Bounds{Slack: p.Slack, Grace: p.Grace, ColdFrom: rules.ColdFrom, WarmUp: rules.WarmUp,
-		FallFactor: rules.FallFactor, FallTime: rules.FallTime, Window: rules.Window, Free: rules.Free, Caps: rel.Caps,
-		PerOp: rules.CountPerOp, Guarded: rules.Guarded, OneWay: rules.OneWayKeys})
-	return &Outcome{rep, history}, errors.Join(r.errs...)
+	watch(r.rec)
+	return &Outcome{audit.Check(r.rec, script.bounds()), history}, errors.Join(r.errs...)
+}
+
+// watch is shown a day's record before it is checked; tests look at it.
+var watch = func(*audit.Record) {}
+
+// bounds gives the checker the numbers that the relays were given.
+func (s *Script) bounds() audit.Bounds {
+	p, r := s.Platform, s.Rules
+	return audit.Bounds{Slack: p.Slack, Grace: p.Grace, ColdFrom: r.ColdFrom, WarmUp: r.WarmUp, FallFactor: r.FallFactor,
+		FallTime: r.FallTime, Window: r.Window, Free: r.Free, Caps: s.Release.Caps, PerOp: r.CountPerOp, Guarded: r.Guarded,
+		OneWay: r.OneWayKeys}
 }
 
 // tell writes a line every few seconds.
--- /dev/null
+++ b/policy/life_test.go
@@ -0,0 +1,81 @@
+package policy
+
+import "fmt"
+
+// A long life: units come and go, keys are never met twice. What is kept stays bounded and no key goes back.
+func Example_longLife() {
+	f := newFleet(func(t *Terms) { t.OneWay, t.Keys, t.Forget, t.Caps = true, 50, 10, []float64{0.5, 0.5, 1} })
+	f.list(false, machine{5, 8, Ready, 50}, machine{6, 8, Ready, 50})
+	f.b.Stage(f.now, 8, 0, OnTrial, 0.5, 0)
+	builds := map[uint64]int{}
+	back, trial := 0, 0
+	ask := func(key uint64) {
+		f.id++
+		c := &Command{ID: f.id, Key: key, Came: f.now, Due: f.now + 0.8}
+		if s := f.pick(c); s.Do == Send {
+			build := f.b.byID[s.Unit].build
+			if build < builds[key] {
+				back++
+			}
+			builds[key] = max(builds[key], build)
+			trial += one(build == 8)
+			f.answer(c, Acked)
+		}
+		f.now += 0.05
+	}
+	for i := range uint64(400) {
+		ask(i + 1)
+		f.b.Wait(f.now)
+	}
+	fmt.Println("on trial: kept", len(f.b.answered), "keys, trial deliveries above 0:", trial > 0)
+	for i := range uint64(400) {
+		ask(i + 1)
+	}
+	fmt.Println("asked again: kept", len(f.b.answered), "went back", back)
+	f.b.Stage(f.now, 8, 2, Released, 1, 0)
+	for i := range uint64(400) {
+		ask(1000 + i)
+	}
+	fmt.Println("released: room left:", len(f.b.answered) < 50, "every key at build", f.b.floor)
+	for day := range uint32(100) {
+		f.list(true, machine{100 + day, 8, Ready, 0}, machine{101 + day, 8, Ready, 0})
+		for i := range uint64(100) {
+			ask(uint64(day)*1000 + i)
+		}
+		f.b.Wait(f.now)
+	}
+	fmt.Println("after 100 changes: units", len(f.b.units), len(f.b.byID), "samples", len(f.b.samples), "went back", back)
+	f.b.Stage(f.now, 8, 2, GoingBack, 0, 0)
+	fmt.Println("gone back: floor", f.b.floor)
+	// Output:
+	// on trial: kept 50 keys, trial deliveries above 0: true
+	// asked again: kept 50 went back 0
+	// released: room left: true every key at build 8
+	// after 100 changes: units 4 4 samples 6 went back 0
+	// gone back: floor 0
+}
+
+// No on rests on a list that has shown nothing for long; a back vote does not wait for one.
+func Example_oldList() {
+	f := newFleet(nil)
+	f.list(false, machine{5, 8, Ready, f.now}, machine{6, 8, Ready, f.now})
+	f.b.Stage(f.now, 8, 0, OnTrial, 0.1, 0)
+	f.b.ListAge(60)
+	f.run(400, 6, fine)
+	f.vote(2, Counted)
+	f.b.ListAge(0.5)
+	f.vote(2, Counted)
+	f.b.Stage(f.now, 8, 2, OnTrial, 1, 0)
+	f.b.ListAge(60)
+	f.run(600, 6, func(_ uint32, build int) (Result, float64) {
+		if build == 8 {
+			return Errored, 0.01
+		}
+		return Acked, 0.05
+	})
+	f.vote(2, Counted)
+	// Output:
+	// no vote
+	// vote on on build 8 stage 0
+	// vote back on build 8 stage 2
+}
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,281 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"flintspread/policy"
+	"flintspread/roster"
+	"flintspread/settings"
+)
+
+// The benchmarks' clients and units parse as little as they can and allocate nothing, so that what is measured is what
+// lies between them.
+
+var plainAnswer = []byte("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 8\r\n\r\nchute 17")
+
+// quickUnit answers each request without a body at once.
+func quickUnit(b *testing.B) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				br := bufio.NewReaderSize(c, 4096)
+				for skipHead(br) >= 0 {
+					if _, err := c.Write(plainAnswer); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l
+}
+
+// skipHead reads to a blank line and gives the length of the body that follows, -1 at the end.
+func skipHead(br *bufio.Reader) int {
+	length := 0
+	for {
+		line, err := br.ReadSlice('\n')
+		if err != nil {
+			return -1
+		}
+		if len(line) <= 2 {
+			return length
+		}
+		if v, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+			length, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
+		}
+	}
+}
+
+// load asks b.N commands over so many connections, each one after the other, and reports what came of them.
+func load(b *testing.B, addr string, conns int) {
+	hist := make([]*hdrhistogram.Histogram, conns)
+	var left atomic.Int64
+	var started, done sync.WaitGroup
+	begin := make(chan struct{})
+	ask := []byte("GET /chute/17 HTTP/1.1\r\nHost: bench\r\nUser-Agent: bench\r\nFlint-Time: 0.7\r\n\r\n")
+	for i := range conns {
+		hist[i] = hdrhistogram.New(1, 10_000_000, 3) // µs
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			b.Fatal(err)
+		}
+		started.Add(1)
+		done.Go(func() {
+			defer c.Close()
+			br := bufio.NewReaderSize(c, 4096)
+			once := func() bool {
+				if _, err := c.Write(ask); err != nil {
+					return false
+				}
+				n := skipHead(br)
+				if n < 0 {
+					return false
+				}
+				_, err := br.Discard(n)
+				return err == nil
+			}
+			once() // connections are made and warm
+			started.Done()
+			<-begin
+			for left.Add(-1) >= 0 {
+				from := time.Now()
+				if !once() {
+					b.Error("a connection broke")
+					return
+				}
+				hist[i].RecordValue(time.Since(from).Microseconds())
+			}
+		})
+	}
+	started.Wait()
+	runtime.GC()
+	left.Store(int64(b.N))
+	b.ReportAllocs()
+	b.ResetTimer()
+	close(begin)
+	done.Wait()
+	b.StopTimer()
+	for _, h := range hist[1:] {
+		hist[0].Merge(h)
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
+	b.ReportMetric(float64(hist[0].ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(hist[0].ValueAtQuantile(99)), "p99-µs")
+}
+
+// benchHall is a relay before so many quick units.
+func benchHall(b *testing.B, units int) *hall {
+	h := newHall(b, func(s *settings.Edge) {
+		s.Units.Connections, s.Clients.Connections, s.Rules.Relays = 1024, 4096, 1
+	})
+	var list []roster.Unit
+	for i := range units {
+		list = append(list, roster.Unit{ID: uint32(i + 1), Addr: quickUnit(b).Addr().String(), State: "ready", Build: 1})
+	}
+	h.list(true, list...)
+	return h
+}
+
+// BenchmarkProxies compares, with the same clients and unit: no proxy, the standard library's, the relay.
+func BenchmarkProxies(b *testing.B) {
+	const conns = 256
+	b.Run("direct", func(b *testing.B) { load(b, quickUnit(b).Addr().String(), conns) })
+	b.Run("ReverseProxy", func(b *testing.B) {
+		to, _ := url.Parse("http://" + quickUnit(b).Addr().String())
+		p := httputil.NewSingleHostReverseProxy(to)
+		p.Transport = &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}
+		p.ErrorLog = log.New(io.Discard, "", 0)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		srv := &http.Server{Handler: p}
+		go srv.Serve(l)
+		defer srv.Close()
+		load(b, l.Addr().String(), conns)
+	})
+	b.Run("relay", func(b *testing.B) { load(b, benchHall(b, 1).l.Addr().String(), conns) })
+}
+
+// BenchmarkFleet is the relay before 100 units with 1,000 client connections.
+func BenchmarkFleet(b *testing.B) {
+	h := benchHall(b, 100)
+	before := h.r.Numbers()
+	load(b, h.l.Addr().String(), 1000)
+	n := h.r.Numbers()
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	b.ReportMetric((n.PolicyTime-before.PolicyTime)/b.Elapsed().Seconds(), "policy-cores")
+	b.ReportMetric((n.PolicyTime-before.PolicyTime)/float64(n.PolicyCalls-before.PolicyCalls)*1e9, "policy-ns/call")
+	b.ReportMetric(float64(m.HeapInuse+m.StackInuse)/(1<<20), "MiB")
+	b.ReportMetric(float64(n.Nacked-before.Nacked)/float64(b.N), "nacked/op")
+}
+
+// BenchmarkLongLife is a relay whose list and keys change for ever; one operation is a day's worth: 200 units replaced,
+// 2,000 keys met once. Memory is reported at the end, and is to stay flat as b.N grows.
+func BenchmarkLongLife(b *testing.B) {
+	h := newHall(b, func(s *settings.Edge) {
+		s.Rules.OneWayKeys, s.Rules.KeysKept, s.Rules.UnitsForget = true, 10000, 1.6
+	})
+	unit := quickUnit(b).Addr().String()
+	id := uint32(0)
+	var m runtime.MemStats
+	c := h.dial()
+	for b.Loop() {
+		var list []roster.Unit
+		for range 200 {
+			id++
+			list = append(list, roster.Unit{ID: id, Addr: unit, State: "ready", Build: 1 + int(id)%2})
+		}
+		h.list(true, list...)
+		for k := range 2000 {
+			fmt.Fprintf(c, "GET /chute/1 HTTP/1.1\r\nHost: x\r\nFlint-Key: %d-%d\r\n\r\n", id, k)
+			c.br.Discard(skipHead(c.br))
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	b.ReportMetric(float64(m.HeapInuse)/(1<<20), "heap-MiB")
+	b.ReportMetric(float64(h.r.Numbers().Units), "units")
+}
+
+// BenchmarkOrder compares two ways to order the policy's calls, for one command's two calls from many goroutines: a
+// lock that the caller takes, and an owner goroutine that it asks over a channel.
+func BenchmarkOrder(b *testing.B) {
+	set := newHall(b, nil).r.set
+	fresh := func() *policy.Balancer {
+		p := policy.New(set.Terms(), 1, 100)
+		p.ListStart(true)
+		for i := range uint32(100) {
+			p.Listed(i+1, 0, 0, 1, policy.Ready, 1, 0)
+		}
+		p.ListEnd(100)
+		return p
+	}
+	one := func(p *policy.Balancer, now float64) {
+		c := &policy.Command{Came: now, Due: now + 0.7}
+		if s := p.Pick(now, c); s.Do == policy.Send {
+			c.Sent = append(c.Sent, policy.Delivery{Unit: s.Unit, At: now, Maybe: true})
+			c.Ended = true
+			p.After(now, c, s.Unit, policy.Acked, 0.001)
+		}
+	}
+	for _, workers := range []int{1, 64} {
+		spread := func(b *testing.B, call func(now float64)) {
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			var done sync.WaitGroup
+			from := time.Now()
+			for range workers {
+				done.Go(func() {
+					for left.Add(-1) >= 0 {
+						call(100 + time.Since(from).Seconds())
+					}
+				})
+			}
+			done.Wait()
+		}
+		b.Run(fmt.Sprintf("lock-%d", workers), func(b *testing.B) {
+			p, mu := fresh(), sync.Mutex{}
+			last := 100.0
+			spread(b, func(now float64) {
+				mu.Lock()
+				last = max(last, now)
+				one(p, last)
+				mu.Unlock()
+			})
+		})
+		b.Run(fmt.Sprintf("owner-%d", workers), func(b *testing.B) {
+			p := fresh()
+			type ask struct {
+				now  float64
+				done chan struct{}
+			}
+			asks := make(chan ask, 64)
+			go func() {
+				last := 100.0
+				for a := range asks {
+					last = max(last, a.now)
+					one(p, last)
+					a.done <- struct{}{}
+				}
+			}()
+			answers := sync.Pool{New: func() any { return make(chan struct{}, 1) }}
+			spread(b, func(now float64) {
+				ch := answers.Get().(chan struct{})
+				asks <- ask{now, ch}
+				<-ch
+				answers.Put(ch)
+			})
+			close(asks)
+		})
+	}
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,91 @@
+package roster
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCheck(t *testing.T) {
+	fine := Unit{ID: 1, Addr: "127.0.0.1:1", State: "ready", Build: 1}
+	with := func(edit func(*Unit)) Unit { u := fine; edit(&u); return u }
+	for want, units := range map[string][]Unit{
+		"":              {fine, with(func(u *Unit) { u.ID, u.State, u.Addr = 2, "gone", "" })},
+		"no id":         {with(func(u *Unit) { u.ID = 0 })},
+		"named twice":   {fine, fine},
+		"unknown state": {with(func(u *Unit) { u.State = "well" })},
+		"no HOST:PORT":  {with(func(u *Unit) { u.Addr = "here" })},
+		"build -1":      {with(func(u *Unit) { u.Build = -1 })},
+		"below 0":       {with(func(u *Unit) { u.Heft = -1 })},
+		"units;":        make([]Unit, mostUnits+1),
+	} {
+		err := (&Line{Units: units}).Check()
+		if (err == nil) != (want == "") || err != nil && !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %q", err, want)
+		}
+	}
+}
+
+func Example_changes() {
+	l := &List{}
+	take := func(line Line) {
+		err := l.Take(&line, 100)
+		fmt.Println("version", l.Version, "at", l.At, "units", len(l.Units), err)
+	}
+	a, b := Unit{ID: 1, State: "ready"}, Unit{ID: 2, State: "ready"}
+	take(Line{Version: 5, Full: true, Units: []Unit{a, b}})
+	take(Line{Version: 6, Age: 2, Units: []Unit{{ID: 1, State: "gone"}, {ID: 3, State: "draining"}}})
+	take(Line{Version: 4, Units: []Unit{a}})
+	take(Line{Version: 6})
+	take(Line{Version: 1, Full: true, Units: []Unit{b}}) // the service began anew
+	// Output:
+	// version 5 at 100 units 2 <nil>
+	// version 6 at 98 units 2 <nil>
+	// version 6 at 98 units 2 changes of version 4 after version 6
+	// version 6 at 100 units 2 <nil>
+	// version 1 at 100 units 1 <nil>
+}
+
+// A kill while saving leaves the old file; a broken file is set aside and the list empty.
+func TestSaveAndLoad(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "units.json")
+	if l, err := Load(file); err != nil || len(l.Units) != 0 {
+		t.Fatal(l, err)
+	}
+	l := &List{Version: 7, At: 5, Units: map[uint32]Unit{1: {ID: 1, Addr: "127.0.0.1:1", State: "ready", Build: 2}}}
+	if err := l.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	torn := file + ".new-1"
+	if err := os.WriteFile(torn, []byte(`{"version":8,"un`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	back, err := Load(file)
+	if err != nil || back.Version != 7 || back.Units[1] != l.Units[1] {
+		t.Fatal(back, err)
+	}
+	if _, err := os.Stat(torn); err == nil {
+		t.Error("what the kill left was not swept")
+	}
+	text, _ := os.ReadFile(file)
+	for _, bad := range []string{string(text[:len(text)/2]), "", `{"units":{"1":{"id":1,"state":"odd"}}}`} {
+		if err := os.WriteFile(file, []byte(bad), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		back, err = Load(file)
+		if err == nil || len(back.Units) != 0 || !strings.Contains(err.Error(), "set aside") {
+			t.Errorf("%q: %v %v", bad, back, err)
+		}
+		if _, err := os.Stat(file); err == nil {
+			t.Error("the broken file still stands")
+		}
+	}
+	if aside, _ := filepath.Glob(file + ".bad-*"); len(aside) != 3 {
+		t.Error(aside)
+	}
+	if err := l.Save(filepath.Join(file, "no", "such")); err == nil {
+		t.Error("saved nowhere")
+	}
+}
--- a/settings/read.go
+++ b/settings/read.go
@@ -112,6 +112,8 @@
 	return v
 }()
 
+var humps = regexp.MustCompile(`([a-z])([A-Z])`)
+
 var index = regexp.MustCompile(`\[(\d+)\]`)
 
 // namespacePath turns the validator's Edge.op-types[0].target into :op-types 0 :target.
@@ -134,7 +136,7 @@
 // complaint words a failed check.
 func complaint(f validator.FieldError) string {
 	words := map[string]string{"gt": "must be above", "gte": "must be at least", "lte": "must be at most", "oneof": "must be one of",
-		"min": "must number at least", "max": "must number at most", "gtefield": "must be at least", "startswith": "must begin with"}
+		"min": "must number at least", "max": "must number at most", "startswith": "must begin with"}
 	switch f.Tag() {
 	case "required":
 		return "must not be empty"
@@ -143,6 +145,9 @@
 	case "http_url":
 		return fmt.Sprintf("%q is no http:// address", f.Value())
 	}
+	if f.Tag() == "gtefield" {
+		return fmt.Sprintf("%v must be at least that of :%s", f.Value(), strings.ToLower(humps.ReplaceAllString(f.Param(), "$1-$2")))
+	}
 	if w := words[f.Tag()]; w != "" {
 		return fmt.Sprintf("%v %s %s", f.Value(), w, f.Param())
 	}
--- /dev/null
+++ b/settings/read_test.go
@@ -0,0 +1,140 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+func example() string {
+	text, err := os.ReadFile("../deploy/edge.edn")
+	if err != nil {
+		panic(err)
+	}
+	return string(text)
+}
+
+// Each error names file, line and key.
+func Example_faults() {
+	text := example()
+	for _, change := range [][2]string{
+		{":relay     \"r1\" ", ""},
+		{":relay     \"r1\"", ":relay \"r 1\""},
+		{"\"127.0.0.1:7400\"", "\"127.0.0.1\""},
+		{":level  :info", ":level :loud"},
+		{":round         0.02", ":round \"0.02\""},
+		{":round         0.02", ":rond 0.02"},
+		{":round         0.02", ":round 0.5"},
+		{":round         0.02", ":round 0"},
+		{":free          2.0", ":free 2.0 :free 3.0"},
+		{":back-most  5.0", ":back-most 0.01"},
+		{"[0.1 0.4 1.0]", "[0.1 0.4]"},
+		{"[0.1 0.4 1.0]", "[0.4 0.1 1.0]"},
+		{"[0.15 0.5 1.0]", "[0.15 1.5 1.0]"},
+		{":group :all :window 1.5", ":group :all"},
+		{":effect :at-most-once", ":effect :once"},
+		{":target 0.6 :timeout 1.5", ":target 1.6 :timeout 1.5"},
+		{":op-type \"seal-gate\"", ":op-type \"seal\""},
+		{":path \"/divert/\"", ":path \"/batch/\""},
+		{":one-way-keys      false\n         :keys-kept         1000000", ":one-way-keys true :keys-kept 0"},
+		{":forget-units      600.0", ":forget-units 1.0"},
+		{"]}\n", "]"},
+		{"]}\n", "]} 7"},
+		{":state-dir \"var/r1\"", ":state-dir \"var/r1"},
+	} {
+		if !strings.Contains(text, change[0]) {
+			panic(change[0])
+		}
+		_, err := ParseEdge("edge.edn", []byte(strings.Replace(text, change[0], change[1], 1)))
+		var f *Fault
+		if !errors.As(err, &f) {
+			fmt.Print("not a fault: ")
+		}
+		fmt.Println(err)
+	}
+	// Output:
+	// edge.edn:1: :relay: missing
+	// edge.edn:3: :relay: r 1 does not do (excludesall  )
+	// edge.edn:4: :listen: "127.0.0.1" is no HOST:PORT
+	// edge.edn:8: :log :level: :loud must be one of debug info warn error
+	// edge.edn:30: :rules :round: cannot unmarshal string into Go value of type float64
+	// edge.edn:30: :rules :rond: unknown key
+	// edge.edn:58: :op-types 0 :timeout: not above three rounds (:rules :round): no answer could be in time
+	// edge.edn:30: :rules :round: 0 must be above 0
+	// edge.edn:39: :rules :free: stands twice
+	// edge.edn:15: :sources :back-most: 0.01 must be at least that of :back-least
+	// edge.edn:47: :release :caps: 3 caps for 2 stages
+	// edge.edn:46: :release :stages 1: a stage below the one before it
+	// edge.edn:47: :release :caps 1: 1.5 must be at most 1
+	// edge.edn:60: :op-types 2: a deduplicated op type needs :group and a :window above 0
+	// edge.edn:61: :op-types 3 :effect: :once must be one of redeliverable deduplicated at-most-once
+	// edge.edn:59: :op-types 1 :target: above the timeout
+	// edge.edn:67: :routes 3 :op-type: no op type is called "seal"
+	// edge.edn:66: :routes 2 :path: the same as :routes 1
+	// edge.edn:42: :rules :keys-kept: one-way keys need room for some
+	// edge.edn:44: :rules :forget-units: not above the timeout of "batch-table"
+	// edge.edn:67: the text ends before '}'
+	// edge.edn:67: text after the end of the settings
+	// edge.edn:64: chute-lookup: stands twice
+}
+
+// Comments, discarded forms and strings that look like keys don't move the places.
+func Example_places() {
+	p, err := findPlaces("; {:a\n{:a #_ {:x 1} [1 #_2\n\"}:b\" \\} {:c 2}]\n :b #inst \"2026\" #_ :d}")
+	for _, k := range p.keys {
+		fmt.Println(k, "line", p.of[k])
+	}
+	fmt.Println(p.of[":a 3"], err)
+	_, err = findPlaces(strings.Repeat("[", 1000))
+	fmt.Println(err)
+	// Output:
+	// :a line 2
+	// #_ :x line 2
+	// :a 3 :c line 3
+	// :b line 4
+	// 3 <nil>
+	// nested deeper than 64
+}
+
+func Example_routes() {
+	e, err := ParseEdge("edge.edn", []byte(strings.Replace(example(), "{:method \"GET\"  :path \"/chute/\"",
+		"{:method \"GET\" :path \"/chute/b\" :op-type \"batch-table\"} {:method \"GET\" :path \"/chute/\"", 1)))
+	fmt.Println(err)
+	for _, x := range []string{"GET /chute/7", "GET /chute/b7", "POST /chute/7", "GET /", "POST /divert/1"} {
+		method, path, _ := strings.Cut(x, " ")
+		op := e.Op(method, path)
+		if op < 0 {
+			fmt.Println(x, "none")
+			continue
+		}
+		fmt.Println(x, e.OpTypes[op].Name)
+	}
+	// Output:
+	// <nil>
+	// GET /chute/7 chute-lookup
+	// GET /chute/b7 batch-table
+	// POST /chute/7 none
+	// GET / none
+	// POST /divert/1 divert-record
+}
+
+// Whatever the text, reading ends with settings or a fault that lies within the text.
+func FuzzParseEdge(f *testing.F) {
+	f.Add(example())
+	f.Add("{:a [1 #_ 2 \\} \"\\\"\" #{:b} (c)] ;\n}")
+	f.Fuzz(func(t *testing.T, text string) {
+		e, err := ParseEdge("f", []byte(text))
+		var fault *Fault
+		if err != nil && !errors.As(err, &fault) {
+			t.Fatalf("no fault: %v", err)
+		}
+		if fault != nil && (fault.Line < 1 || fault.Line > 1+strings.Count(text, "\n")) {
+			t.Fatalf("%v", fault)
+		}
+		if err == nil && len(e.Terms().Ops) == 0 {
+			t.Fatal("settings without op types")
+		}
+	})
+}
