The module serves two seats: an edge tends, counts and follows; a planner hears counts and votes

Need: the relay is to be split into an edge that forwards and a planner that judges, on one module.

Change: Wait is Tend (steering, an edge's whole periodic work) plus the vote; Counted and Heard carry an edge's counts whole; Follow gives an edge the standing vote and what is lent to it of the free part, which lapses with the lease; Stood takes up the vote of the process before.

--- a/policy/api.go
+++ b/policy/api.go
@@ -28,6 +28,7 @@
 	OneWay      bool      // a key that a new build answered never goes to an earlier one
 	Keys        int       // keys remembered for OneWay, 0: all
 	Forget      float64   // s after which a unit that left the list is forgotten, 0: never; more than any timeout
+	Led         bool      // another process judges and lends what is free; see Follow
 	Automatic   bool      // the clock moves stages, votes only hold or send back
 	Replace     bool      // earlier machines go as their successors come
 	HarmPrice   float64   // of worth in wrong answers, against StalePrice for worth served by an old build
@@ -172,3 +173,19 @@
 	Draining
 	Gone
 )
+
+// Evidence is all that an edge has counted of the present build, for its planner: whole each time, so that the newest is
+// all that matters.
+type Evidence struct {
+	Build int     // that was the newest when this was counted
+	Rate  float64 // commands a second
+	Tally []Tally
+}
+
+// Tally is what one unit did under one build: outcomes and failures, by kind of failure.
+type Tally struct {
+	Unit  uint32
+	Build int
+	N     [kinds]float64
+	Bad   [kinds]float64
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,8 @@
 // The module's decisions, all of them. A caller makes one Balancer for each instance (New), tells it what it
 // hears (ListStart, Listed, ListEnd, ListAge, ListFailed, Stage, VoteAnswered, Flagged) and asks three things: where
 // to send a command (Pick), what to do after an outcome (After), how long to wait and what to vote meanwhile
-// (Wait). The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here
+// (Wait). Split in two programs, the edge asks Pick, After and Tend, and hears what its planner says (Follow); the
+// planner asks Wait, and hears what its edges counted (Heard). The plain values that pass in and out are defined in api.go; wire/ is one caller. Nothing here
 // reads a clock, starts a goroutine or knows a name; equal calls give equal answers.
 
 package policy
@@ -67,6 +68,7 @@
 		b.worth = max(b.worth, op.Importance)
 	}
 	b.tokens, b.limit, b.watchAt = retryMost/2, math.Inf(1), math.Inf(-1)
+	b.share = float64(one(!t.Led))
 	return b
 }
 
@@ -237,7 +239,11 @@
 	i := b.bucket(c.Op)
 	b.taken[i] = after(b.taken[i], now-b.t.Window+b.t.Round)
 	b.tried[i] = after(b.tried[i], now-b.t.Window-b.t.Round)
-	return b.t.Free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
+	free := b.t.Free * b.share
+	if b.t.Led && now >= b.lent {
+		free = 0 // the lease is over: the planner may have lent this part to another edge
+	}
+	return free + capNow*float64(len(b.taken[i])) - float64(len(b.tried[i]))
 }
 
 // arrange keeps what is asked for each command and vote, so that none walks the fleet: the units of either
@@ -576,7 +582,7 @@
 func (b *Balancer) excess(kind int) float64 {
 	var side [2][]count
 	var sum, few [2]count
-	for _, s := range b.samples {
+	for _, s := range b.evidence() {
 		i := one(s.build == b.build)
 		// Machines met too seldom to be told from the rest count together.
 		if c := s.of[kind]; c.n < leastPart {
@@ -652,9 +658,27 @@
 		b.floor = 0
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
+	b.merge()
 	b.arrange(now)
 }
 
+// Follow enters what the planner says of an edge's part: the vote that stands, on which build, and which share of what
+// all edges may spend is lent to this one, until when. It has no view for ever: what was told of drains and caps stays
+// binding, what is unannounced is in its first stage, and what was lent is spent no more once the lease is over.
+func (b *Balancer) Follow(build int, v Verdict, share, until float64) {
+	b.standing = vote{build: build, verdict: v}
+	b.share, b.lent = share, until
+}
+
+// Stood enters, at a start, the vote that was cast age ago by the process before. An unsure one may have counted or not: it
+// is renewed, or withdrawn, at once.
+func (b *Balancer) Stood(now float64, build, stage int, v Verdict, age float64, sure bool) {
+	if !sure {
+		age = max(age, b.t.VoteLife/2)
+	}
+	b.standing, b.votedAt = vote{build, stage, v}, now-age
+}
+
 // VoteAnswered is what became of the vote last cast.
 func (b *Balancer) VoteAnswered(now float64, r VoteReply) {
 	if !b.calling {
@@ -692,7 +716,7 @@
 	if b.t.Replace {
 		places = float64(b.earlier + b.newer)
 	}
-	for _, s := range b.samples {
+	for _, s := range b.evidence() {
 		if s.build == b.build {
 			seen += s.of[lost].n
 		}
@@ -700,7 +724,7 @@
 	share := b.t.Stages[min(b.stage, len(b.t.Stages)-1)]
 	// More time is taken where it would bring the outcomes lacking; who sees little would wait in vain.
 	wait := onWaitFew
-	if more := b.rate(now) * b.heft[1] / (b.heft[0] + b.heft[1]) * (onWaitFew - onWait); seen >= leastSeen ||
+	if more := (b.rate(now) + b.others) * b.heft[1] / (b.heft[0] + b.heft[1]) * (onWaitFew - onWait); seen >= leastSeen ||
 		seen+more < leastSeen {
 		wait = onWait
 	}
@@ -711,11 +735,9 @@
 	return VoteOn
 }
 
-// Wait does the periodic work: it steers the open limit, looks at the counts, and casts or renews this
-// balancer's vote.
-func (b *Balancer) Wait(now float64) Turn {
+// Tend does an edge's periodic work, which casts no vote: it steers the open limit.
+func (b *Balancer) Tend(now float64) Turn {
 	b.wake(now)
-	t := Turn{In: check}
 	if now-b.steeredAt >= steerIn-b.t.Round {
 		b.steeredAt = now
 		b.steer()
@@ -725,6 +747,13 @@
 			s.of[slow].n, s.of[slow].bad = s.of[slow].n*lagFade, s.of[slow].bad*lagFade
 		}
 	}
+	return Turn{In: check}
+}
+
+// Wait does the periodic work where this balancer judges too: it looks at the counts, its own and those of its edges, and
+// casts or renews its vote.
+func (b *Balancer) Wait(now float64) Turn {
+	t := b.Tend(now)
 	if b.t.Ask && !b.watching && now-b.watchAt >= 1 {
 		t.Subscribe, b.watchAt = true, now
 	}
@@ -751,7 +780,7 @@
 // steer bounds what is open by how quickly answers come, against overload, bursts and slow fleets alike; not
 // below this balancer's even part of two deliveries a unit, where a fleet idles.
 func (b *Balancer) steer() {
-	least := 2 + 2*float64(b.ready)/float64(b.t.Balancers)
+	least := 2 + 2*b.share*float64(b.ready)/float64(b.t.Balancers)
 	b.ratio, b.longest = 0, slices.Max(b.usual)
 	for i, op := range b.t.Ops {
 		b.ratio = max(b.ratio, b.usual[i]/op.Target)
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash"
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -122,7 +123,12 @@
 	mute            float64
 	watching        bool
 	listAge         float64
-	watchAt         float64
+
+	share, lent float64             // part of what all edges may spend, and until when
+	heard       map[string]Evidence // by edge
+	merged      []*sample           // own and heard
+	others      float64             // rate of the edges heard
+	watchAt     float64
 }
 
 type vote struct {
@@ -216,6 +222,70 @@
 	return s
 }
 
+// Counted gives an edge's counts.
+func (b *Balancer) Counted(now float64) Evidence {
+	e := Evidence{Build: b.build, Rate: b.rate(now), Tally: make([]Tally, 0, len(b.samples))}
+	for _, s := range b.samples {
+		t := Tally{Unit: s.unit, Build: s.build}
+		for i, c := range s.of {
+			t.N[i], t.Bad[i] = c.n, c.bad
+		}
+		e.Tally = append(e.Tally, t)
+	}
+	return e
+}
+
+// Heard replaces what an edge had counted.
+func (b *Balancer) Heard(edge string, e Evidence) {
+	if b.heard == nil {
+		b.heard = map[string]Evidence{}
+	}
+	b.heard[edge] = e
+	b.merge()
+}
+
+// Unheard drops an edge's counts.
+func (b *Balancer) Unheard(edge string) {
+	delete(b.heard, edge)
+	b.merge()
+}
+
+// merge sums what was heard of the present build.
+func (b *Balancer) merge() {
+	type key struct {
+		unit  uint32
+		build int
+	}
+	b.merged, b.others = nil, 0
+	at := map[key]*sample{}
+	for _, edge := range slices.Sorted(maps.Keys(b.heard)) {
+		e := b.heard[edge]
+		b.others += e.Rate
+		if e.Build != b.build || !b.told {
+			continue
+		}
+		for _, t := range e.Tally {
+			s := at[key{t.Unit, t.Build}]
+			if s == nil {
+				s = &sample{unit: t.Unit, build: t.Build}
+				at[key{t.Unit, t.Build}] = s
+				b.merged = append(b.merged, s)
+			}
+			for i := range s.of {
+				s.of[i] = s.of[i].with(count{t.N[i], t.Bad[i]}, 1)
+			}
+		}
+	}
+}
+
+// evidence is what the verdict rests on.
+func (b *Balancer) evidence() []*sample {
+	if b.heard == nil {
+		return b.samples
+	}
+	return b.merged
+}
+
 // ListStart begins a list; full names every unit there is, else only changes follow.
 func (b *Balancer) ListStart(full bool) {
 	b.watching = true
@@ -228,7 +298,7 @@
 func (b *Balancer) Listed(id uint32, zone, cell uint16, build int, state State, heft, since float64) {
 	u := b.byID[id]
 	if u == nil {
-		u = &unit{id: id, rank: b.draw(uint64(id)), before: build, build: build, since: since, credit: b.chance(), creditAt: since}
+		u = &unit{id: id, rank: b.draw(uint64(id)), before: build, build: build, since: since, credit: b.share * b.chance(), creditAt: since}
 		b.byID[id] = u
 		at := sort.Search(len(b.units), func(i int) bool {
 			v := b.units[i]
@@ -237,7 +307,7 @@
 		b.units = slices.Insert(b.units, at, u)
 	}
 	if since != u.since || build != u.build {
-		u.before, u.fail, u.slow, u.credit, u.creditAt = u.build, fading{}, 0, b.chance(), since
+		u.before, u.fail, u.slow, u.credit, u.creditAt = u.build, fading{}, 0, b.share*b.chance(), since
 	}
 	if heft <= 0 {
 		heft = 1
