--- /dev/null
+++ b/accord/leader.go
@@ -0,0 +1,91 @@
+package accord
+
+import "strconv"
+
+// Leader is a planner's end.
+type Leader struct {
+	epoch    uint64
+	number   uint64
+	silence  float64
+	ledger   *Ledger
+	edges    map[string]*edge
+	newer    uint64 // epoch of a planner that has come after this one, 0: none
+	Refused  [Reasons]uint64
+	lifeTime float64
+}
+
+type edge struct {
+	life, seq uint64
+	heard     float64
+}
+
+// NewLeader is a planner's at its start. epoch must be above that of every planner before it; life is how long a lease
+// lasts, window the rule's on exposure; an edge that is silent for so long is taken for dead.
+func NewLeader(epoch uint64, life, window, silence, now float64) *Leader {
+	return &Leader{epoch: epoch, silence: silence, ledger: NewLedger(life, window, now), edges: map[string]*edge{}, lifeTime: life}
+}
+
+// Digest says whether an edge's digest counts. following is the epoch that the edge follows: where that is above this
+// planner's, another has come after it, and it has to step down.
+func (l *Leader) Digest(now float64, major uint32, name string, life, seq, following uint64) (r Reason) {
+	e := l.edges[name]
+	switch {
+	case major != SchemaMajor:
+		r = OtherSchema
+	case following > l.epoch:
+		l.newer = max(l.newer, following)
+		r = Superseded
+	case e != nil && life < e.life:
+		r = OtherLife
+	case e != nil && life == e.life && seq <= e.seq:
+		r = OldNumber
+	}
+	if r != Taken {
+		l.Refused[r]++
+		return r
+	}
+	l.edges[name] = &edge{life: life, seq: seq, heard: now}
+	return Taken
+}
+
+// Leads tells whether this planner is the newest, as far as it knows. One that is not casts no vote and lends nothing.
+func (l *Leader) Leads() bool { return l.newer == 0 }
+
+// Newer is the epoch that came after this one.
+func (l *Leader) Newer() uint64 { return l.newer }
+
+// Epoch is this planner's.
+func (l *Leader) Epoch() uint64 { return l.epoch }
+
+// View gives the head of the next view for an edge, and what is lent to it.
+func (l *Leader) View(now float64, name string) (h Head, share, life float64) {
+	l.number++
+	h = Head{Major: SchemaMajor, Epoch: l.epoch, Number: l.number}
+	if e := l.edges[name]; e != nil {
+		h.Life, h.Echo = e.life, e.seq
+		if l.Leads() {
+			share = l.ledger.Lend(now, holder(name, e.life), len(l.edges))
+		}
+	}
+	return h, share, l.lifeTime
+}
+
+// holder names one process of an edge: what the process before it spent still counts.
+func holder(name string, life uint64) string { return name + "/" + strconv.FormatUint(life, 10) }
+
+// Dead gives the edges that have been silent for too long, and forgets them.
+func (l *Leader) Dead(now float64) (names []string) {
+	for name, e := range l.edges {
+		if now-e.heard > l.silence {
+			names = append(names, name)
+			delete(l.edges, name)
+		}
+	}
+	return names
+}
+
+// Edges is how many are alive.
+func (l *Leader) Edges() int { return len(l.edges) }
+
+// Lent is the sum of the parts that may be in use or count still.
+func (l *Leader) Lent(now float64) float64 { return l.ledger.Out(now) }
--- /dev/null
+++ b/cmd/flintplan/main.go
@@ -0,0 +1,51 @@
+// Command flintplan judges builds for the edges of one relay: it hears what they counted, votes, and leads them.
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"flintspread/plan"
+	"flintspread/program"
+	"flintspread/settings"
+)
+
+func main() {
+	root := &cobra.Command{Use: "flintplan", Short: "Judges builds and leads the edges of a relay"}
+	root.AddCommand(
+		&cobra.Command{Use: "run FILE", Short: "Plan by a settings file until SIGTERM", Args: cobra.ExactArgs(1),
+			RunE: func(_ *cobra.Command, args []string) error { return run(args[0]) }},
+		&cobra.Command{Use: "check FILE", Short: "Check a settings file and say what is wrong with it", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				set, err := settings.ReadPlan(args[0])
+				if err == nil {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: fine: relay %q, %d op types, %d stages, link %s\n",
+						args[0], set.Relay, len(set.OpTypes), len(set.Release.Stages), set.Link.Address)
+				}
+				return err
+			}},
+		&cobra.Command{Use: "state DIR", Short: "Print what a stopped planner left in its state folder", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error { return plan.PrintState(cmd.OutOrStdout(), args[0]) }},
+	)
+	program.Main(root)
+}
+
+func run(file string) error {
+	set, err := settings.ReadPlan(file)
+	if err != nil {
+		return err
+	}
+	log, level := program.Logger(set.Log)
+	ctx, stop := program.Until(func() {
+		program.Reload(log, level, func() (settings.Log, error) {
+			set, err := settings.ReadPlan(file)
+			if err != nil {
+				return settings.Log{}, err
+			}
+			return set.Log, nil
+		})
+	})
+	defer stop()
+	return plan.Run(ctx, set, log)
+}
--- /dev/null
+++ b/link/edge.go
@@ -0,0 +1,203 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+
+	"flintspread/accord"
+	"flintspread/link/linkpb"
+	"flintspread/settings"
+	"flintspread/stream"
+)
+
+// EdgeEnd is an edge's end of the link.
+type EdgeEnd struct {
+	Set   *settings.Link
+	Log   *slog.Logger
+	Now   func() float64 // s since 1970, going forward
+	Relay string
+	Edge  string
+	Life  uint64
+	Terms uint64
+	// Count fills a digest with what the edge counted and has. It is called once a beat, and must not wait.
+	Count func(*linkpb.Digest)
+	// Take enters a view that counts; list and stage tell which parts are news, until when its lease ends. It must not wait.
+	Take func(v *linkpb.View, list, stage bool, until float64)
+
+	mu       sync.Mutex
+	follower *accord.Follower
+	links    uint64
+	dropped  uint64
+	listNo   uint64 // of the last list taken from a view
+}
+
+// Numbers is what the end has seen.
+type Numbers struct {
+	Epoch, Number uint64 // of the view that is followed
+	Age           float64
+	Links         uint64 // made
+	Dropped       uint64 // digests that a newer one replaced before they were sent
+	Refused       [accord.Reasons]uint64
+}
+
+func (e *EdgeEnd) Numbers() Numbers {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := Numbers{Links: e.links, Dropped: e.dropped}
+	if e.follower != nil {
+		n.Epoch, n.Number = e.follower.Follows()
+		n.Age, n.Refused = e.follower.Age(e.Now()), e.follower.Refused
+	}
+	return n
+}
+
+// Run keeps a link to the planner until ctx ends. listAt is when the list on the edge's disk was true.
+func (e *EdgeEnd) Run(ctx context.Context, listAt float64) error {
+	e.mu.Lock()
+	e.follower = accord.NewFollower(e.Life)
+	e.follower.Have(listAt)
+	e.mu.Unlock()
+	c, err := creds(e.Set)
+	if err != nil {
+		return fmt.Errorf(":planner: %w", err)
+	}
+	conn, err := grpc.NewClient(target(e.Set), grpc.WithTransportCredentials(c),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: beat(e.Set.Beat), Multiplier: 1.5, Jitter: 0.3,
+			MaxDelay: beat(e.Set.Silence)}, MinConnectTimeout: beat(e.Set.Silence)}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostMessage)))
+	if err != nil {
+		return fmt.Errorf(":planner: %w", err)
+	}
+	defer conn.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		views, err := e.once(ctx, conn)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if views > 0 {
+			n = 0
+		}
+		wait := stream.Pause(n, e.Set.Beat, e.Set.Silence, rand.Float64())
+		e.Log.Warn("link to the planner broke", "address", e.Set.Address, "views", views, "error", err, "again_in", fmt.Sprintf("%.2fs", wait))
+		select {
+		case <-ctx.Done():
+		case <-time.After(beat(wait)):
+		}
+	}
+	return nil
+}
+
+const mostMessage = 64 << 20 // bytes
+
+func beat(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
+
+func target(set *settings.Link) string {
+	if path, ok := set.Unix(); ok {
+		return "unix:" + path
+	}
+	return "passthrough:///" + set.Address
+}
+
+// once holds one stream until it breaks, and tells how many views came.
+func (e *EdgeEnd) once(ctx context.Context, conn *grpc.ClientConn) (views int, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := beat(e.Set.Silence)
+	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("silent for %g s", e.Set.Silence)) })
+	defer quiet.Stop()
+	s, err := linkpb.NewPlannerClient(conn).Follow(ctx)
+	if err != nil {
+		return 0, err
+	}
+	// The newest digest waits here for the stream; one that did not get away in time is replaced, for it says less.
+	next := make(chan *linkpb.Digest, 1)
+	var work sync.WaitGroup
+	defer work.Wait()
+	defer cancel(nil)
+	work.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case d := <-next:
+				if s.Send(d) != nil {
+					return // Recv tells why
+				}
+			}
+		}
+	})
+	work.Go(func() {
+		tick := time.NewTicker(beat(e.Set.Beat))
+		defer tick.Stop()
+		for {
+			e.put(next)
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+		}
+	})
+	for ; ; views++ {
+		v, err := s.Recv()
+		if err != nil {
+			if cause := context.Cause(ctx); cause != nil {
+				err = cause
+			}
+			return views, err
+		}
+		if views == 0 {
+			e.mu.Lock()
+			e.links++
+			e.mu.Unlock()
+		}
+		quiet.Reset(silence)
+		e.view(v)
+	}
+}
+
+// put makes a digest and leaves it for the stream.
+func (e *EdgeEnd) put(next chan *linkpb.Digest) {
+	d := &linkpb.Digest{Major: accord.SchemaMajor, Minor: accord.SchemaMinor, Relay: e.Relay, Edge: e.Edge, Terms: e.Terms}
+	e.Count(d)
+	e.mu.Lock()
+	d.Life, d.Seq, d.Following = e.follower.Digest(e.Now())
+	d.ListNo = e.listNo
+	e.mu.Unlock()
+	select {
+	case <-next:
+		e.mu.Lock()
+		e.dropped++
+		e.mu.Unlock()
+	default:
+	}
+	next <- d // there is room: nobody else puts
+}
+
+// view enters one that came.
+func (e *EdgeEnd) view(v *linkpb.View) {
+	head := accord.Head{Major: v.Major, Epoch: v.Epoch, Number: v.Number, Life: v.Life, Echo: v.Echo}
+	e.mu.Lock()
+	before, _ := e.follower.Follows()
+	r, list, stage := e.follower.Accept(head, accord.Parts{ListAt: v.ListAt, StageNo: v.StageNo})
+	until := e.follower.Until(v.Lease)
+	if r == accord.Taken && list && v.HasList {
+		e.listNo = v.ListNo
+	}
+	e.mu.Unlock()
+	if r != accord.Taken {
+		e.Log.Info("view refused", "reason", r, "view", head)
+		return
+	}
+	if before != v.Epoch {
+		e.Log.Info("following", "planner", v.Epoch, "before", before)
+	}
+	e.Take(v, list, stage, until)
+}
--- /dev/null
+++ b/plan/numbers.go
@@ -0,0 +1,67 @@
+package plan
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"flintspread/accord"
+)
+
+type numbers struct{ p *Planner }
+
+func metric(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("flintplan_"+name, help, labels, nil)
+}
+
+var (
+	epochNo  = metric("epoch", "Number of this planner's process.")
+	leads    = metric("leads", "1 while no newer planner is known.")
+	edges    = metric("edges", "Edges alive.")
+	lent     = metric("lent", "Sum of the parts lent that may be in use or count still, at most 1.")
+	digested = metric("digests_total", "Digests taken.")
+	refusedD = metric("digests_refused_total", "Digests that did not count.", "reason")
+	viewed   = metric("views_total", "Views made.")
+	listAge  = metric("list_age_seconds", "Time since what the list says was true.")
+	units    = metric("units", "Units known.")
+	stands   = metric("verdict", "The vote that stands: 0 none, 1 on, 2 hold, 3 back.")
+)
+
+func (n numbers) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(n, ch) }
+
+func (n numbers) Collect(ch chan<- prometheus.Metric) {
+	p := n.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	gauge := func(d *prometheus.Desc, x float64) { ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, x) }
+	total := func(d *prometheus.Desc, x uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(x), labels...)
+	}
+	gauge(epochNo, float64(p.leader.Epoch()))
+	lead := 0.0
+	if p.leader.Leads() {
+		lead = 1
+	}
+	gauge(leads, lead)
+	gauge(edges, float64(p.leader.Edges()))
+	gauge(lent, p.leader.Lent(now))
+	total(digested, p.digests)
+	for r := accord.Taken + 1; int(r) < accord.Reasons; r++ {
+		total(refusedD, p.leader.Refused[r], r.String())
+	}
+	total(viewed, p.views)
+	gauge(listAge, now-p.list.At)
+	gauge(units, float64(len(p.list.Units)))
+	_, v := p.b.Standing()
+	gauge(stands, float64(v))
+}
+
+func (p *Planner) admin() http.Handler {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(numbers{p})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/plan/planner.go
@@ -0,0 +1,351 @@
+// Package plan puts a planner together: its state, the list, the news of releases, the edges' digests, its votes and the
+// views it leads its edges by.
+package plan
+
+import (
+	"context"
+
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"flintspread/accord"
+	"flintspread/edge"
+	"flintspread/link"
+	"flintspread/link/linkpb"
+	"flintspread/policy"
+	"flintspread/release"
+	"flintspread/roster"
+	"flintspread/settings"
+	"flintspread/stream"
+)
+
+// Planner is a running planner.
+type Planner struct {
+	set   *settings.Plan
+	log   *slog.Logger
+	store *Store
+	box   *release.Box
+	end   *link.PlannerEnd
+	base  time.Time
+	wall  float64
+	terms uint64
+	saves chan struct{} // the list is to be saved
+
+	mu     sync.Mutex // orders the policy's calls; all below is under it
+	b      *policy.Balancer
+	leader *accord.Leader
+	list   roster.List
+	news   release.News // Version 0: none yet; Age as of newsAt
+	newsAt float64
+	told   struct { // by the last views, to see that there is something to tell
+		build   int
+		verdict policy.Verdict
+	}
+	odd       map[string]bool // edges whose terms differ, told once
+	superTold bool
+	digests   uint64
+	views     uint64
+}
+
+// Run plans until ctx ends. An error before anything was served is a reason not to start.
+func Run(ctx context.Context, set *settings.Plan, log *slog.Logger) error {
+	store, st, aside, err := Open(set.StateDir)
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	if aside != "" {
+		log.Error("state set aside; starting empty", "file", aside)
+	}
+	p := newPlanner(set, log, store)
+	epoch, err := store.Begin(st.Epoch, p.now())
+	if err != nil {
+		return fmt.Errorf("state: %w", err)
+	}
+	p.begin(epoch, st)
+	listener, err := link.Listen(&set.Link)
+	if err != nil {
+		return fmt.Errorf(":link :address: %w", err)
+	}
+	admin, err := net.Listen("tcp", set.Admin)
+	if err != nil {
+		listener.Close()
+		return fmt.Errorf(":admin: %w", err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	p.box = &release.Box{Relay: set.Relay, URL: set.Sources.Installer, Timeout: set.Release.VoteTimeout, Client: client, Log: log,
+		Asked: p.asked, Replied: p.replied}
+	p.box.Open()
+	source := func(url string) stream.Source {
+		s := set.Sources
+		return stream.Source{URL: url, Silence: s.Silence, Least: s.BackLeast, Most: s.BackMost, Log: log, Client: client}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running sync.WaitGroup
+	failed := make(chan error, 1)
+	running.Go(func() { stream.Follow(ctx, source(set.Sources.List), p.takeList, func() {}) })
+	running.Go(func() { stream.Follow(ctx, source(set.Sources.Installer+"/stage"), p.takeNews, func() {}) })
+	running.Go(func() { p.box.Run(ctx) })
+	running.Go(func() { p.save(ctx) })
+	running.Go(func() { p.turns(ctx) })
+	running.Go(func() { failed <- p.end.Serve(ctx, listener) })
+	ops := &http.Server{Handler: p.admin(), ReadHeaderTimeout: 5 * time.Second}
+	running.Go(func() { ops.Serve(admin) })
+	log.Info("planning", "relay", set.Relay, "epoch", epoch, "link", set.Link.Address, "admin", admin.Addr().String())
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	cancel()
+	ops.Close()
+	running.Wait()
+	log.Info("stopped", "relay", set.Relay)
+	return err
+}
+
+func newPlanner(set *settings.Plan, log *slog.Logger, store *Store) *Planner {
+	now := time.Now()
+	p := &Planner{set: set, log: log, store: store, base: now, wall: float64(now.UnixNano()) / 1e9,
+		terms: edge.TermsHash(set.Terms()), saves: make(chan struct{}, 1), odd: map[string]bool{}}
+	seed := set.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	p.b = policy.New(set.Terms(), seed, p.wall)
+	p.end = &link.PlannerEnd{Set: &set.Link, Log: log, Relay: set.Relay, Digest: p.digest, View: p.view}
+	return p
+}
+
+func (p *Planner) now() float64 { return p.wall + time.Since(p.base).Seconds() }
+
+// begin takes up what the process before left.
+func (p *Planner) begin(epoch uint64, st State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	l := p.set.Link
+	p.leader = accord.NewLeader(epoch, l.Lease, p.set.Rules.Window, l.Silence, now)
+	if st.List != nil {
+		p.list = *st.List
+		p.list.Full(now).Tell(p.b, now)
+		p.log.Info("last list", "units", len(p.list.Units), "version", p.list.Version, "age", fmt.Sprintf("%.1fs", now-p.list.At))
+	}
+	if n := st.News; n != nil && n.Check(len(p.set.Release.Stages)) == nil {
+		p.enter(*n, st.At)
+	}
+	if v := st.Vote; v != nil {
+		p.b.Stood(now, v.Build, v.Stage, v.Verdict, max(0, now-v.At), v.Sure)
+	}
+}
+
+// enter takes news whose age was told at a time.
+func (p *Planner) enter(n release.News, at float64) {
+	p.news, p.newsAt = n, at
+	p.b.Stage(p.now(), n.Build, n.Stage, n.PhaseOf(), n.Cap, n.Age+max(0, p.now()-at))
+}
+
+func (p *Planner) takeList(line *roster.Line) error {
+	if err := line.Check(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	now := p.now()
+	err := p.list.Take(line, now)
+	if err == nil {
+		line.Tell(p.b, now)
+	}
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	p.end.Tell()
+	if line.Full || len(line.Units) > 0 {
+		select {
+		case p.saves <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+// save keeps the last list on disk. Changes that come while one is written are written together.
+func (p *Planner) save(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.saves:
+		}
+		p.mu.Lock()
+		list := p.list.Clone()
+		p.mu.Unlock()
+		if err := p.store.List(list); err != nil {
+			p.log.Error("list not saved", "error", err)
+		}
+	}
+}
+
+func (p *Planner) takeNews(line *release.News) error {
+	if line.Quiet {
+		return nil
+	}
+	if err := line.Check(len(p.set.Release.Stages)); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	if line.Version < p.news.Version {
+		p.mu.Unlock()
+		p.log.Info("old news of a release dropped", "version", line.Version)
+		return nil
+	}
+	changed := line.Version != p.news.Version
+	at := p.now()
+	p.enter(*line, at)
+	p.mu.Unlock()
+	p.end.Tell() // drains and lower caps bind from when the relay was told: the edges come first, the disk after
+	if changed {
+		if err := p.store.News(*line, at); err != nil {
+			p.log.Error("news not saved", "error", err)
+		}
+	}
+	return nil
+}
+
+// digest enters what an edge counted.
+func (p *Planner) digest(d *linkpb.Digest) accord.Reason {
+	e := policy.Evidence{Build: int(d.Build), Rate: d.Rate, Tally: make([]policy.Tally, len(d.Tally))}
+	for i, t := range d.Tally {
+		x := &e.Tally[i]
+		x.Unit, x.Build = t.Unit, int(t.Build)
+		for k := range x.N {
+			if k < len(t.N) && k < len(t.Bad) {
+				x.N[k], x.Bad[k] = float64(t.N[k]), float64(t.Bad[k])
+			}
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.leader.Digest(p.now(), d.Major, d.Edge, d.Life, d.Seq, d.Following)
+	if r == accord.Superseded && !p.superTold {
+		p.superTold = true
+		p.log.Error("a newer planner leads; this one votes and lends no more", "epoch", p.leader.Epoch(), "newer", p.leader.Newer())
+	}
+	if r != accord.Taken {
+		return r
+	}
+	if d.Terms != p.terms && !p.odd[d.Edge] {
+		p.odd[d.Edge] = true
+		p.log.Error("settings differ between planner and edge: :rules, :release or :op-types", "edge", d.Edge)
+	}
+	p.digests++
+	p.b.Heard(d.Edge, e)
+	return r
+}
+
+// view makes the next view for an edge.
+func (p *Planner) view(name string, listNo uint64) *linkpb.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	h, share, life := p.leader.View(now, name)
+	build, verdict := p.b.Standing()
+	v := &linkpb.View{Major: h.Major, Minor: accord.SchemaMinor, Epoch: h.Epoch, Number: h.Number, Life: h.Life, Echo: h.Echo,
+		ListAt: p.list.At, ListNo: p.list.Version, VerdictBuild: int32(build), Verdict: int32(verdict), Share: share, Lease: life}
+	if n := p.news; n.Phase != "" {
+		v.StageNo, v.Build, v.Stage, v.Phase, v.Cap = n.Version, int32(n.Build), int32(n.Stage), n.Phase, n.Cap
+		v.StageAge = n.Age + max(0, now-p.newsAt)
+	}
+	if listNo != p.list.Version {
+		v.HasList = true
+		for _, u := range p.list.Units {
+			v.Units = append(v.Units, &linkpb.Unit{Id: u.ID, Addr: u.Addr, State: u.State, Build: int32(u.Build), Zone: uint32(u.Zone),
+				Cell: uint32(u.Cell), Heft: u.Heft, Start: u.Start})
+		}
+	}
+	p.views++
+	return v
+}
+
+// turns does the periodic work on the one timer.
+func (p *Planner) turns(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(p.turn())
+	}
+}
+
+func (p *Planner) turn() time.Duration {
+	p.mu.Lock()
+	now := p.now()
+	for _, name := range p.leader.Dead(now) {
+		p.b.Unheard(name)
+		delete(p.odd, name)
+		p.log.Info("edge silent", "edge", name)
+	}
+	p.b.ListAge(now - p.list.At)
+	var t policy.Turn
+	if p.leader.Leads() {
+		t = p.b.Wait(now)
+	} else {
+		t = p.b.Tend(now)
+	}
+	p.mu.Unlock()
+	if t.Vote {
+		p.box.Cast(release.Vote{Build: t.Build, Stage: t.Stage, Verdict: t.Verdict})
+	}
+	p.tellVerdict()
+	return time.Duration(t.In * float64(time.Second))
+}
+
+// tellVerdict tells the edges when another vote stands.
+func (p *Planner) tellVerdict() {
+	p.mu.Lock()
+	build, verdict := p.b.Standing()
+	news := build != p.told.build || verdict != p.told.verdict
+	p.told.build, p.told.verdict = build, verdict
+	p.mu.Unlock()
+	if news {
+		p.end.Tell()
+	}
+}
+
+// asked notes a vote before it leaves: should this process die now, the next knows that it may have counted.
+func (p *Planner) asked(v release.Vote) {
+	p.keep(v, false)
+}
+
+func (p *Planner) keep(v release.Vote, sure bool) {
+	if err := p.store.Vote(Ballot{Build: v.Build, Stage: v.Stage, Verdict: v.Verdict, At: p.now(), Sure: sure}); err != nil {
+		p.log.Error("vote not saved", "error", err)
+	}
+}
+
+func (p *Planner) replied(v release.Vote, reply policy.VoteReply, line *release.News) {
+	if line != nil {
+		if err := p.takeNews(line); err != nil {
+			p.log.Warn("reply to a vote", "error", err)
+		}
+	}
+	p.mu.Lock()
+	p.b.VoteAnswered(p.now(), reply)
+	build, verdict := p.b.Standing()
+	p.mu.Unlock()
+	if reply == policy.Counted {
+		p.keep(v, true)
+	} else if reply != policy.Unknown && build >= 0 {
+		p.keep(release.Vote{Build: build, Stage: v.Stage, Verdict: verdict}, true) // what stood before stands
+	}
+	p.tellVerdict()
+}
--- /dev/null
+++ b/plan/store.go
@@ -0,0 +1,192 @@
+package plan
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+
+	"flintspread/policy"
+	"flintspread/release"
+	"flintspread/roster"
+)
+
+// Store is a planner's state on disk: its epoch, the vote that stands, the last news and the last list. Each change is one
+// transaction, synced before it counts, so that a kill leaves the state before it or after it.
+type Store struct {
+	db *bolt.DB
+}
+
+// Ballot is a vote on disk.
+type Ballot struct {
+	Build   int            `json:"build"`
+	Stage   int            `json:"stage"`
+	Verdict policy.Verdict `json:"verdict"`
+	At      float64        `json:"at"`   // s since 1970
+	Sure    bool           `json:"sure"` // it is known whether it counted
+}
+
+// State is all that was in a store.
+type State struct {
+	Epoch uint64        `json:"epoch"`
+	Vote  *Ballot       `json:"vote,omitempty"`
+	News  *release.News `json:"news,omitempty"` // Age as of NewsAt
+	At    float64       `json:"news_at,omitempty"`
+	List  *roster.List  `json:"list,omitempty"`
+}
+
+type savedNews struct {
+	News release.News `json:"news"`
+	At   float64      `json:"at"`
+}
+
+var (
+	bucket   = []byte("planner")
+	keyEpoch = []byte("epoch")
+	keyVote  = []byte("vote")
+	keyNews  = []byte("news")
+	keyList  = []byte("list")
+)
+
+// ErrInUse is another planner on the same state.
+var ErrInUse = errors.New("in use by another planner")
+
+func stateFile(dir string) string { return filepath.Join(dir, "planner.db") }
+
+// Open opens the state in a folder and gives what is in it. A file that can't be read is set aside under a name that says
+// when, and the state is empty; aside is its name then.
+func Open(dir string) (s *Store, st State, aside string, err error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, st, "", err
+	}
+	file := stateFile(dir)
+	s, st, err = open(file)
+	if err == nil || errors.Is(err, ErrInUse) {
+		return s, st, "", err
+	}
+	aside = fmt.Sprintf("%s.bad-%d", file, time.Now().UnixNano())
+	if err := os.Rename(file, aside); err != nil {
+		return nil, st, "", err
+	}
+	s, st, again := open(file)
+	if again != nil {
+		return nil, st, aside, again
+	}
+	return s, st, aside + ": " + err.Error(), nil
+}
+
+// open reads everything once, with the store's own check: what is broken shows now, not in the middle of a day. Pages that
+// are not there fault, and pages that are wrong panic.
+func open(file string) (s *Store, st State, err error) {
+	old := debug.SetPanicOnFault(true)
+	defer debug.SetPanicOnFault(old)
+	var db *bolt.DB
+	defer func() {
+		if r := recover(); r != nil {
+			s, st, err = nil, State{}, fmt.Errorf("broken: %v", r)
+		}
+		if err != nil && db != nil {
+			func() {
+				defer func() { recover() }() // closing what is broken may break too
+				db.Close()
+			}()
+		}
+	}()
+	db, err = bolt.Open(file, 0o644, &bolt.Options{Timeout: 500 * time.Millisecond})
+	if errors.Is(err, bolt.ErrTimeout) {
+		return nil, st, fmt.Errorf("%s: %w", file, ErrInUse)
+	}
+	if err != nil {
+		return nil, st, err
+	}
+	err = db.View(func(tx *bolt.Tx) error {
+		if err := firstOf(tx.Check()); err != nil {
+			return err
+		}
+		b := tx.Bucket(bucket)
+		if b == nil {
+			return nil
+		}
+		var news savedNews
+		for key, into := range map[string]any{string(keyEpoch): &st.Epoch, string(keyVote): &st.Vote, string(keyNews): &news, string(keyList): &st.List} {
+			if text := b.Get([]byte(key)); text != nil {
+				if err := json.Unmarshal(text, into); err != nil {
+					return fmt.Errorf("%s: %w", key, err)
+				}
+			}
+		}
+		if news.At > 0 {
+			st.News, st.At = &news.News, news.At
+		}
+		if st.List != nil {
+			return st.List.Full(st.List.At).Check()
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, State{}, err
+	}
+	return &Store{db}, st, nil
+}
+
+// firstOf drains the check's findings.
+func firstOf(found <-chan error) (first error) {
+	for err := range found {
+		if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (s *Store) put(key []byte, v any) error {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.db.Update(func(tx *bolt.Tx) error {
+		b, err := tx.CreateBucketIfNotExists(bucket)
+		if err != nil {
+			return err
+		}
+		return b.Put(key, text)
+	})
+}
+
+// Begin takes the epoch of a new process: above every one before it, also where the state was lost.
+func (s *Store) Begin(before uint64, now float64) (uint64, error) {
+	epoch := max(before+1, uint64(now*1000))
+	return epoch, s.put(keyEpoch, epoch)
+}
+
+func (s *Store) Vote(v Ballot) error { return s.put(keyVote, v) }
+
+func (s *Store) News(n release.News, at float64) error { return s.put(keyNews, savedNews{n, at}) }
+
+func (s *Store) List(l *roster.List) error { return s.put(keyList, l) }
+
+func (s *Store) Close() error { return s.db.Close() }
+
+// PrintState prints what is in a folder's state.
+func PrintState(w io.Writer, dir string) error {
+	if _, err := os.Stat(stateFile(dir)); err != nil {
+		return err
+	}
+	s, st, err := open(stateFile(dir))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	text, err := json.MarshalIndent(st, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s\n", text)
+	return err
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -278,6 +278,9 @@
 	}
 }
 
+// Standing gives the vote that stands.
+func (b *Balancer) Standing() (build int, v Verdict) { return b.standing.build, b.standing.verdict }
+
 // evidence is what the verdict rests on.
 func (b *Balancer) evidence() []*sample {
 	if b.heard == nil {
--- a/relay/helper_test.go
+++ b/relay/helper_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
 )
@@ -50,7 +51,7 @@
 			t.Fatal(err)
 		}
 	}
-	h := &hall{t: t, r: New(set, 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(Vote) {}), unit: map[uint32]*unitScript{},
+	h := &hall{t: t, r: New(set, 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(release.Vote) {}), unit: map[uint32]*unitScript{},
 		done: make(chan error, 1)}
 	if h.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,21 +14,16 @@
 	"time"
 
 	"flintspread/policy"
+	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
 )
 
-// Vote is one that the policy wants cast.
-type Vote struct {
-	Build, Stage int
-	Verdict      policy.Verdict
-}
-
 // Relay is one instance: a policy and the connections it decides about.
 type Relay struct {
 	set  *settings.Edge
 	log  *slog.Logger
-	cast func(Vote) // called without the lock; must not wait
+	cast func(release.Vote) // called without the lock; must not wait. nil: a planner judges, and leads
 
 	base  time.Time // on the clock that only goes forward, wall tells when that was
 	wall  float64
@@ -76,7 +71,7 @@
 }
 
 // New makes a relay; cast takes the votes.
-func New(set *settings.Edge, seed uint64, log *slog.Logger, cast func(Vote)) *Relay {
+func New(set *settings.Edge, seed uint64, log *slog.Logger, cast func(release.Vote)) *Relay {
 	now := time.Now()
 	r := &Relay{set: set, log: log, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
@@ -99,26 +94,15 @@
 	defer r.mu.Unlock()
 	now := r.Now()
 	r.listAt = now - line.Age
-	r.b.ListAge(line.Age)
-	if !line.Full && len(line.Units) == 0 {
-		return // nothing changed
-	}
-	r.b.ListStart(line.Full)
-	for _, p := range r.pools {
-		p.listed = p.listed && !line.Full
+	line.Tell(r.b, now)
+	if line.Full {
+		for _, p := range r.pools {
+			p.listed = false
+		}
 	}
 	for _, u := range line.Units {
-		state := policy.Ready
-		switch u.State {
-		case "draining":
-			state = policy.Draining
-		case "gone":
-			state = policy.Gone
-		}
-		r.b.Listed(u.ID, u.Zone, u.Cell, u.Build, state, u.Heft, u.Start)
-		r.listed(u, state, &a)
+		r.listed(u, &a)
 	}
-	r.b.ListEnd(now)
 	r.dropPools()
 }
 
@@ -129,6 +113,27 @@
 	r.b.Stage(r.Now(), build, stage, phase, limit, age)
 }
 
+// Follow enters what a planner's view says of this edge's part.
+func (r *Relay) Follow(build int, v policy.Verdict, share, until float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b.Follow(build, v, share, until)
+}
+
+// Counted gives what the policy counted of the present build, for a planner.
+func (r *Relay) Counted() policy.Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.b.Counted(r.Now())
+}
+
+// ListAt is when what the list says was true.
+func (r *Relay) ListAt() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listAt
+}
+
 // VoteAnswered enters what became of the vote last cast.
 func (r *Relay) VoteAnswered(reply policy.VoteReply) {
 	r.mu.Lock()
@@ -330,15 +335,20 @@
 			all = append(all, a)
 		}
 		more := len(all) == batch
-		var vote *Vote
+		var vote *release.Vote
 		if r.turnAt <= now {
 			from := time.Now()
 			r.b.ListAge(now - r.listAt)
-			t := r.b.Wait(now)
+			var t policy.Turn
+			if r.cast != nil {
+				t = r.b.Wait(now)
+			} else {
+				t = r.b.Tend(now)
+			}
 			r.spent(from)
 			r.turnAt = now + t.In
 			if t.Vote {
-				vote = &Vote{t.Build, t.Stage, t.Verdict}
+				vote = &release.Vote{Build: t.Build, Stage: t.Stage, Verdict: t.Verdict}
 			}
 		}
 		var idle acts
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -64,9 +64,9 @@
 }
 
 // listed keeps the pools in step with the list.
-func (r *Relay) listed(u roster.Unit, state policy.State, a *acts) {
+func (r *Relay) listed(u roster.Unit, a *acts) {
 	p := r.pools[u.ID]
-	if state == policy.Gone {
+	if u.State == "gone" {
 		if p != nil {
 			p.listed = false
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,10 +6,14 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
+
+	"flintspread/policy"
 )
 
 // Unit is one entry. Addr is empty only where State is "gone".
@@ -102,11 +106,29 @@
 	return nil
 }
 
+// Clone gives a list that does not change with this one.
+func (l *List) Clone() *List { return &List{l.Version, l.At, maps.Clone(l.Units)} }
+
+// Tell enters a checked line into a policy.
+func (l *Line) Tell(b *policy.Balancer, now float64) {
+	b.ListAge(l.Age)
+	if !l.Full && len(l.Units) == 0 {
+		return // nothing changed
+	}
+	b.ListStart(l.Full)
+	for _, u := range l.Units {
+		b.Listed(u.ID, u.Zone, u.Cell, u.Build, states[u.State], u.Heft, u.Start)
+	}
+	b.ListEnd(now)
+}
+
+var states = map[string]policy.State{"ready": policy.Ready, "draining": policy.Draining, "gone": policy.Gone}
+
 // Full gives the whole list as one line, as a start from disk takes it.
 func (l *List) Full(now float64) *Line {
 	line := &Line{Version: l.Version, Full: true, Age: max(0, now-l.At)}
-	for _, u := range l.Units {
-		line.Units = append(line.Units, u)
+	for _, id := range slices.Sorted(maps.Keys(l.Units)) { // equal lists are told alike
+		line.Units = append(line.Units, l.Units[id])
 	}
 	return line
 }
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -19,7 +19,9 @@
 	StateDir string   `edn:"state-dir" validate:"required"`
 	Seed     uint64   `edn:"seed"` // optional; 0: drawn anew at each start
 	Log      Log      `edn:"log"`
-	Sources  Sources  `edn:"sources"`
+	Sources  *Sources `edn:"sources"` // for an edge that judges for itself
+	Planner  *Link    `edn:"planner"` // for one that a planner leads
+	Name     string   `edn:"edge"`    // optional: its name among the edges of a planner
 	Clients  Clients  `edn:"clients"`
 	Units    Units    `edn:"units"`
 	Rules    Rules    `edn:"rules"`
@@ -123,63 +125,29 @@
 
 // Check finds what the fields alone do not show, and fills the module's terms.
 func (e *Edge) Check() error {
-	r, rel := e.Rules, e.Release
-	if len(rel.Caps) != len(rel.Stages) {
-		return e.fault(":release :caps", fmt.Sprintf("%d caps for %d stages", len(rel.Caps), len(rel.Stages)))
+	if e.Name == "" {
+		e.Name = e.Relay
 	}
-	for i := 1; i < len(rel.Stages); i++ {
-		if rel.Stages[i] < rel.Stages[i-1] {
-			return e.fault(fmt.Sprintf(":release :stages %d", i), "a stage below the one before it")
-		}
-	}
-	if r.Guarded > len(rel.Stages) {
-		return e.fault(":rules :guarded-stages", fmt.Sprintf("%d of %d stages", r.Guarded, len(rel.Stages)))
-	}
-	if r.OneWayKeys && r.KeysKept == 0 {
-		return e.fault(":rules :keys-kept", "one-way keys need room for some")
+	var err error
+	if e.terms, err = terms(place{e.file, e.places}, e.Rules, e.Release, e.OpTypes); err != nil {
+		return err
 	}
-	e.terms = policy.Terms{
-		Balancers: r.Relays, BackVotes: rel.BackVotes, Round: r.Round, Parallel: r.Parallel, Cancel: true,
-		MaxPause: r.MaxPause, ConnIdle: e.Units.IdleTime, Streams: 1, Deliveries: r.Deliveries, ColdFrom: r.ColdFrom,
-		WarmUp: r.WarmUp, FallFactor: r.FallFactor, FallTime: r.FallTime, Window: r.Window, Free: r.Free,
-		Caps: rel.Caps, Stages: rel.Stages, PerOp: r.CountPerOp, Guarded: r.Guarded, OneWay: r.OneWayKeys,
-		Keys: r.KeysKept, Forget: r.UnitsForget, Automatic: rel.ByClock, Replace: rel.Replace,
-		HarmPrice: rel.HarmPrice, StalePrice: rel.StalePrice, Reported: rel.ReportShare, VoteLife: rel.VoteLife,
-		VoteTimeout: rel.VoteTimeout, VoteRate: rel.VotesASecond,
+	e.terms.ConnIdle = e.Units.IdleTime
+	switch {
+	case e.Planner != nil:
+		e.terms.Led = true
+		if key, what := e.Planner.check(); key != "" {
+			return e.fault(":planner "+key, what)
+		}
+		if e.Sources != nil {
+			return e.fault(":sources", "with a :planner the list and the news of releases come from there")
+		}
+	case e.Sources == nil:
+		return e.fault(":sources", "missing; without a :planner the edge asks for itself")
 	}
 	e.opByName = map[string]int{}
 	for i, op := range e.OpTypes {
-		at := fmt.Sprintf(":op-types %d", i)
-		if _, twice := e.opByName[op.Name]; twice {
-			return e.fault(at+" :name", fmt.Sprintf("%q stands twice", op.Name))
-		}
 		e.opByName[op.Name] = i
-		if op.Timeout <= 3*r.Round {
-			return e.fault(at+" :timeout", "not above three rounds (:rules :round): no answer could be in time")
-		}
-		if op.Target > op.Timeout {
-			return e.fault(at+" :target", "above the timeout")
-		}
-		if op.Timeout >= r.UnitsForget {
-			return e.fault(":rules :forget-units", fmt.Sprintf("not above the timeout of %q", op.Name))
-		}
-		o := policy.OpType{Target: op.Target, Timeout: op.Timeout, Importance: op.Importance, Window: op.Window}
-		switch op.Effect {
-		case "deduplicated":
-			o.Effect = policy.Deduplicated
-			if op.Window <= 0 || op.Group == "" {
-				return e.fault(at, "a deduplicated op type needs :group and a :window above 0")
-			}
-		case "at-most-once":
-			o.Effect = policy.AtMostOnce
-		}
-		switch op.Group {
-		case "zone":
-			o.Group = policy.GroupZone
-		case "cell":
-			o.Group = policy.GroupCell
-		}
-		e.terms.Ops = append(e.terms.Ops, o)
 	}
 	for i, route := range e.Routes {
 		at := fmt.Sprintf(":routes %d", i)
--- /dev/null
+++ b/settings/link.go
@@ -0,0 +1,170 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"olympos.io/encoding/edn"
+
+	"flintspread/policy"
+)
+
+// Link is how an edge and its planner reach each other. Over TCP both show a certificate; the files may be replaced while
+// the programs run.
+type Link struct {
+	Address string  `edn:"address" validate:"required"`          // unix:PATH, or HOST:PORT
+	Beat    float64 `edn:"beat" validate:"gt=0"`                 // s between an edge's digests
+	Silence float64 `edn:"silence" validate:"gtfield=Beat"`      // s without a message after which the other end is taken for dead
+	Lease   float64 `edn:"lease" validate:"gtfield=Beat"`        // s for which an edge may spend what it was lent
+	Cert    string  `edn:"cert" validate:"omitempty,filepath"`   // own certificate and those that vouch for it, PEM
+	Key     string  `edn:"key" validate:"omitempty,filepath"`    // its key, PEM
+	CA      string  `edn:"ca" validate:"omitempty,filepath"`     // who vouches for the other end, PEM
+	Peer    string  `edn:"peer" validate:"omitempty,printascii"` // DNS name in the other end's certificate
+}
+
+// Unix gives the socket's path where the link is one.
+func (l *Link) Unix() (path string, ok bool) { return strings.CutPrefix(l.Address, "unix:") }
+
+func (l *Link) check() (key, what string) {
+	if _, ok := l.Unix(); ok {
+		return "", ""
+	}
+	if err := fields.Var(l.Address, "hostname_port"); err != nil {
+		return ":address", fmt.Sprintf("%q is neither unix:PATH nor HOST:PORT", l.Address)
+	}
+	for key, v := range map[string]string{":cert": l.Cert, ":key": l.Key, ":ca": l.CA, ":peer": l.Peer} {
+		if v == "" {
+			return key, "missing; a link over TCP is encrypted and both ends are known"
+		}
+	}
+	return "", ""
+}
+
+// Plan is a planner's file.
+type Plan struct {
+	Relay    string   `edn:"relay" validate:"required,printascii,excludesall= "` // the relay that its edges make up
+	Admin    string   `edn:"admin" validate:"required,hostname_port"`
+	StateDir string   `edn:"state-dir" validate:"required"`
+	Seed     uint64   `edn:"seed"` // optional
+	Log      Log      `edn:"log"`
+	Sources  Sources  `edn:"sources"`
+	Link     Link     `edn:"link"`
+	Rules    Rules    `edn:"rules"`
+	Release  Release  `edn:"release"`
+	OpTypes  []OpType `edn:"op-types" validate:"required,min=1,max=256,dive"`
+	terms    policy.Terms
+}
+
+// Terms gives the module's part of the file.
+func (p *Plan) Terms() policy.Terms { return p.terms }
+
+// ReadPlan reads and checks a planner's file.
+func ReadPlan(file string) (*Plan, error) {
+	text, err := readFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return ParsePlan(file, text)
+}
+
+// ParsePlan reads and checks a planner's settings from their text.
+func ParsePlan(file string, text []byte) (*Plan, error) {
+	p := &Plan{}
+	where, err := decode(file, text, p)
+	if err != nil {
+		return nil, err
+	}
+	at := place{file, where}
+	if key, what := p.Link.check(); key != "" {
+		return nil, at.fault(":link "+key, what)
+	}
+	p.terms, err = terms(at, p.Rules, p.Release, p.OpTypes)
+	return p, err
+}
+
+// place makes faults of one file.
+type place struct {
+	file  string
+	where *places
+}
+
+func (p place) fault(path, what string) error {
+	return &Fault{p.file, p.where.line1(path), path, what}
+}
+
+func readFile(file string) ([]byte, error) {
+	info, err := os.Stat(file)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostBytes {
+		return nil, &Fault{file, 1, "", fmt.Sprintf("%d bytes; %d at most", info.Size(), mostBytes)}
+	}
+	return os.ReadFile(file)
+}
+
+// IsFault tells whether an error lies in a settings file.
+func IsFault(err error) bool {
+	var f *Fault
+	return errors.As(err, &f)
+}
+
+// terms fills the module's terms and finds what the fields alone do not show.
+func terms(at place, r Rules, rel Release, ops []OpType) (policy.Terms, error) {
+	none := policy.Terms{}
+	if len(rel.Caps) != len(rel.Stages) {
+		return none, at.fault(":release :caps", fmt.Sprintf("%d caps for %d stages", len(rel.Caps), len(rel.Stages)))
+	}
+	for i := 1; i < len(rel.Stages); i++ {
+		if rel.Stages[i] < rel.Stages[i-1] {
+			return none, at.fault(fmt.Sprintf(":release :stages %d", i), "a stage below the one before it")
+		}
+	}
+	if r.Guarded > len(rel.Stages) {
+		return none, at.fault(":rules :guarded-stages", fmt.Sprintf("%d of %d stages", r.Guarded, len(rel.Stages)))
+	}
+	if r.OneWayKeys && r.KeysKept == 0 {
+		return none, at.fault(":rules :keys-kept", "one-way keys need room for some")
+	}
+	t := policy.Terms{
+		Balancers: r.Relays, BackVotes: rel.BackVotes, Round: r.Round, Parallel: r.Parallel, Cancel: true,
+		MaxPause: r.MaxPause, Streams: 1, Deliveries: r.Deliveries, ColdFrom: r.ColdFrom,
+		WarmUp: r.WarmUp, FallFactor: r.FallFactor, FallTime: r.FallTime, Window: r.Window, Free: r.Free,
+		Caps: rel.Caps, Stages: rel.Stages, PerOp: r.CountPerOp, Guarded: r.Guarded, OneWay: r.OneWayKeys,
+		Keys: r.KeysKept, Forget: r.UnitsForget, Automatic: rel.ByClock, Replace: rel.Replace,
+		HarmPrice: rel.HarmPrice, StalePrice: rel.StalePrice, Reported: rel.ReportShare, VoteLife: rel.VoteLife,
+		VoteTimeout: rel.VoteTimeout, VoteRate: rel.VotesASecond,
+	}
+	names := map[string]bool{}
+	for i, op := range ops {
+		key := fmt.Sprintf(":op-types %d", i)
+		if names[op.Name] {
+			return none, at.fault(key+" :name", fmt.Sprintf("%q stands twice", op.Name))
+		}
+		names[op.Name] = true
+		if op.Timeout <= 3*r.Round {
+			return none, at.fault(key+" :timeout", "not above three rounds (:rules :round): no answer could be in time")
+		}
+		if op.Target > op.Timeout {
+			return none, at.fault(key+" :target", "above the timeout")
+		}
+		if op.Timeout >= r.UnitsForget {
+			return none, at.fault(":rules :forget-units", fmt.Sprintf("not above the timeout of %q", op.Name))
+		}
+		o := policy.OpType{Target: op.Target, Timeout: op.Timeout, Importance: op.Importance, Window: op.Window,
+			Effect: effects[op.Effect], Group: groups[op.Group]}
+		if o.Effect == policy.Deduplicated && (op.Window <= 0 || op.Group == "") {
+			return none, at.fault(key, "a deduplicated op type needs :group and a :window above 0")
+		}
+		t.Ops = append(t.Ops, o)
+	}
+	return t, nil
+}
+
+var effects = map[edn.Keyword]policy.Effect{
+	"redeliverable": policy.Redeliverable, "deduplicated": policy.Deduplicated, "at-most-once": policy.AtMostOnce,
+}
+
+var groups = map[edn.Keyword]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}
--- a/settings/read.go
+++ b/settings/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"os"
 	"reflect"
 	"regexp"
 	"strings"
@@ -31,14 +30,7 @@
 
 // ReadEdge reads and checks an edge's file. Every error that lies in the text is a *Fault.
 func ReadEdge(file string) (*Edge, error) {
-	info, err := os.Stat(file)
-	if err != nil {
-		return nil, err
-	}
-	if info.Size() > mostBytes {
-		return nil, &Fault{file, 1, "", fmt.Sprintf("%d bytes; %d at most", info.Size(), mostBytes)}
-	}
-	text, err := os.ReadFile(file)
+	text, err := readFile(file)
 	if err != nil {
 		return nil, err
 	}
@@ -145,8 +137,8 @@
 	case "http_url":
 		return fmt.Sprintf("%q is no http:// address", f.Value())
 	}
-	if f.Tag() == "gtefield" {
-		return fmt.Sprintf("%v must be at least that of :%s", f.Value(), strings.ToLower(humps.ReplaceAllString(f.Param(), "$1-$2")))
+	if of := map[string]string{"gtefield": "must be at least that of", "gtfield": "must be above that of"}[f.Tag()]; of != "" {
+		return fmt.Sprintf("%v %s :%s", f.Value(), of, strings.ToLower(humps.ReplaceAllString(f.Param(), "$1-$2")))
 	}
 	if w := words[f.Tag()]; w != "" {
 		return fmt.Sprintf("%v %s %s", f.Value(), w, f.Param())
@@ -166,6 +158,9 @@
 // known tells whether a path leads to a field.
 func known(t reflect.Type, path []string) bool {
 	for _, part := range path {
+		if t.Kind() == reflect.Pointer {
+			t = t.Elem()
+		}
 		switch t.Kind() {
 		case reflect.Struct:
 			f, ok := fieldOf(t, part)
@@ -199,8 +194,12 @@
 		if !stands && must {
 			return at, where.line1(path)
 		}
-		if f.Type.Kind() == reflect.Struct {
-			if p, line := missing(where, f.Type, at); p != "" {
+		inner := f.Type
+		if inner.Kind() == reflect.Pointer && stands {
+			inner = inner.Elem() // left out it is fine, begun it is to be whole
+		}
+		if inner.Kind() == reflect.Struct {
+			if p, line := missing(where, inner, at); p != "" {
 				return p, line
 			}
 		}
--- a/standin/installer.go
+++ b/standin/installer.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"flintspread/audit"
-	"flintspread/edge"
+	"flintspread/release"
 	"flintspread/roster"
 )
 
@@ -41,7 +41,7 @@
 }
 
 type ballot struct {
-	edge.Ballot
+	release.Ballot
 	at float64
 }
 
@@ -255,17 +255,17 @@
 	})
 }
 
-func (in *Installer) line() edge.StageLine {
+func (in *Installer) line() release.News {
 	limit := in.plan.Caps[in.stage]
 	if in.phase == "going-back" || in.phase == "withdrawn" {
 		limit = 0
 	} else if in.phase == "released" {
 		limit = 1
 	}
-	return edge.StageLine{Version: in.version, Build: in.build, Stage: in.stage, Phase: in.phase, Cap: limit, Age: in.clock() - in.since}
+	return release.News{Version: in.version, Build: in.build, Stage: in.stage, Phase: in.phase, Cap: limit, Age: in.clock() - in.since}
 }
 
-func (in *Installer) told(relay string, l edge.StageLine) {
+func (in *Installer) told(relay string, l release.News) {
 	now := in.clock()
 	in.mu.Lock()
 	old := l.Version < in.sent[relay] // overtaken on the way; relays drop it
@@ -317,7 +317,7 @@
 // Vote takes a relay's vote.
 func (in *Installer) Vote(w http.ResponseWriter, req *http.Request) {
 	relay := req.PathValue("relay")
-	var b edge.Ballot
+	var b release.Ballot
 	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 1<<16)).Decode(&b); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
