--- a/audit/record.go
+++ b/audit/record.go
@@ -78,6 +78,7 @@
 // Life is one process of a relay, from its start until it was killed or had stopped (0: still there).
 type Life struct {
 	Relay    string
+	Planner  bool // it judges for the relay's edges, which have processes of their own
 	From, To float64
 	Killed   bool
 	Stalls   [][2]float64 // when it was stopped from outside and let go on
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,8 +12,11 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"flintspread/link"
 	"flintspread/policy"
 	"flintspread/relay"
@@ -44,7 +47,7 @@
 	if err := os.MkdirAll(set.StateDir, 0o755); err != nil {
 		return err
 	}
-	listener, err := net.Listen("tcp", set.Listen)
+	listener, err := listen(set)
 	if err != nil {
 		return fmt.Errorf(":listen: %w", err)
 	}
@@ -111,6 +114,20 @@
 	return err
 }
 
+// listen opens the clients' address. A shared one is spread over the edges there by the kernel, connection by connection.
+func listen(set *settings.Edge) (net.Listener, error) {
+	var lc net.ListenConfig
+	if set.Shared {
+		lc.Control = func(_, _ string, c syscall.RawConn) (err error) {
+			if outer := c.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); outer != nil {
+				return outer
+			}
+			return err
+		}
+	}
+	return lc.Listen(context.Background(), "tcp", set.Listen)
+}
+
 func (e *Edge) source(url string) stream.Source {
 	s := e.set.Sources
 	return stream.Source{URL: url, Silence: s.Silence, Least: s.BackLeast, Most: s.BackMost, Log: e.log, Client: e.http}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -17,7 +17,8 @@
 	Listen   string   `edn:"listen" validate:"required,hostname_port"`           // where clients connect
 	Admin    string   `edn:"admin" validate:"required,hostname_port"`            // metrics
 	StateDir string   `edn:"state-dir" validate:"required"`
-	Seed     uint64   `edn:"seed"` // optional; 0: drawn anew at each start
+	Shared   bool     `edn:"share-port"` // optional: other edges on this host listen at the same address
+	Seed     uint64   `edn:"seed"`       // optional; 0: drawn anew at each start
 	Log      Log      `edn:"log"`
 	Sources  *Sources `edn:"sources"` // for an edge that judges for itself
 	Planner  *Link    `edn:"planner"` // for one that a planner leads
