--- a/link/edge.go
+++ b/link/edge.go
@@ -69,8 +69,10 @@
 		return fmt.Errorf(":planner: %w", err)
 	}
 	conn, err := grpc.NewClient(target(e.Set), grpc.WithTransportCredentials(c),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: beat(e.Set.Beat), Multiplier: 1.5, Jitter: 0.3,
-			MaxDelay: beat(e.Set.Silence)}, MinConnectTimeout: beat(e.Set.Silence)}),
+		// The planner may know of a drain or a lower cap that this edge does not: it is tried again at the pace of the beat,
+		// which a few edges on one host can afford. Twice the beat is to stay well below the grace of the rules.
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: beat(e.Set.Beat / 2), Multiplier: 1.2, Jitter: 0.3,
+			MaxDelay: beat(e.Set.Beat)}, MinConnectTimeout: beat(e.Set.Silence)}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostMessage)))
 	if err != nil {
 		return fmt.Errorf(":planner: %w", err)
@@ -84,8 +86,12 @@
 		if views > 0 {
 			n = 0
 		}
-		wait := stream.Pause(n, e.Set.Beat, e.Set.Silence, rand.Float64())
-		e.Log.Warn("link to the planner broke", "address", e.Set.Address, "views", views, "error", err, "again_in", fmt.Sprintf("%.2fs", wait))
+		wait := stream.Pause(n, e.Set.Beat/2, e.Set.Beat, rand.Float64())
+		level := slog.LevelWarn
+		if n > 0 {
+			level = slog.LevelDebug // said once, not ten times a second
+		}
+		e.Log.Log(ctx, level, "link to the planner broke", "address", e.Set.Address, "views", views, "error", err, "again_in", fmt.Sprintf("%.2fs", wait))
 		select {
 		case <-ctx.Done():
 		case <-time.After(beat(wait)):
--- a/settings/link.go
+++ b/settings/link.go
@@ -15,7 +15,7 @@
 // the programs run.
 type Link struct {
 	Address string  `edn:"address" validate:"required"`          // unix:PATH, or HOST:PORT
-	Beat    float64 `edn:"beat" validate:"gt=0"`                 // s between an edge's digests
+	Beat    float64 `edn:"beat" validate:"gt=0"`                 // s between an edge's digests, and its tries to come back; twice that is to stay below the grace of the rules
 	Silence float64 `edn:"silence" validate:"gtfield=Beat"`      // s without a message after which the other end is taken for dead
 	Lease   float64 `edn:"lease" validate:"gtfield=Beat"`        // s for which an edge may spend what it was lent
 	Cert    string  `edn:"cert" validate:"omitempty,filepath"`   // own certificate and those that vouch for it, PEM
