Link tests: restarts, flaps, silence, schemas, certificates refused by name and replaced

Cause: a refused certificate was told to nobody but the other end's handshake, and a silent planner was logged as a cancelled call.

Change: the end that refuses says whose certificate and why; the cause of a link's end is logged.

--- a/link/creds.go
+++ b/link/creds.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 // that can't be used leaves the last good ones in force.
 type files struct {
 	set *settings.Link
+	log *slog.Logger
 
 	mu    sync.Mutex
 	stamp [3]time.Time
@@ -66,8 +68,16 @@
 	return err
 }
 
-// check refuses the other end's certificate by name.
+// check refuses the other end's certificate by name. It says so here too: the other end only hears of a bad one.
 func (f *files) check(state tls.ConnectionState) error {
+	err := f.verify(state)
+	if err != nil {
+		f.log.Warn("other end of the link refused", "error", err)
+	}
+	return err
+}
+
+func (f *files) verify(state tls.ConnectionState) error {
 	if len(state.PeerCertificates) == 0 {
 		return errors.New("the other end shows no certificate")
 	}
@@ -103,11 +113,11 @@
 }
 
 // creds gives a link's credentials. Where the link is a Unix socket, who may open it is the file's matter.
-func creds(set *settings.Link) (credentials.TransportCredentials, error) {
+func creds(set *settings.Link, log *slog.Logger) (credentials.TransportCredentials, error) {
 	if _, ok := set.Unix(); ok {
 		return insecure.NewCredentials(), nil
 	}
-	f := &files{set: set}
+	f := &files{set: set, log: log}
 	if _, _, err := f.read(); err != nil {
 		return nil, err
 	}
--- a/link/edge.go
+++ b/link/edge.go
@@ -64,7 +64,7 @@
 	e.follower = accord.NewFollower(e.Life)
 	e.follower.Have(listAt)
 	e.mu.Unlock()
-	c, err := creds(e.Set)
+	c, err := creds(e.Set, e.Log)
 	if err != nil {
 		return fmt.Errorf(":planner: %w", err)
 	}
@@ -118,9 +118,15 @@
 	silence := beat(e.Set.Silence)
 	quiet := time.AfterFunc(silence, func() { cancel(fmt.Errorf("silent for %g s", e.Set.Silence)) })
 	defer quiet.Stop()
+	why := func(err error) error {
+		if cause := context.Cause(ctx); cause != nil {
+			return cause
+		}
+		return err
+	}
 	s, err := linkpb.NewPlannerClient(conn).Follow(ctx)
 	if err != nil {
-		return 0, err
+		return 0, why(err)
 	}
 	// The newest digest waits here for the stream; one that did not get away in time is replaced, for it says less.
 	next := make(chan *linkpb.Digest, 1)
@@ -154,10 +160,7 @@
 	for ; ; views++ {
 		v, err := s.Recv()
 		if err != nil {
-			if cause := context.Cause(ctx); cause != nil {
-				err = cause
-			}
-			return views, err
+			return views, why(err)
 		}
 		if views == 0 {
 			e.mu.Lock()
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,367 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"flintspread/accord"
+	"flintspread/link/linkpb"
+	"flintspread/settings"
+)
+
+// office makes certificates.
+type office struct {
+	t    *testing.T
+	dir  string
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newOffice(t *testing.T, name string) *office {
+	o := &office{t: t, dir: t.TempDir()}
+	o.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	o.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	o.write("ca.pem", "CERTIFICATE", o.sign(o.cert, &o.key.PublicKey))
+	return o
+}
+
+func (o *office) sign(c *x509.Certificate, pub *ecdsa.PublicKey) []byte {
+	der, err := x509.CreateCertificate(rand.Reader, c, o.cert, pub, o.key)
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return der
+}
+
+func (o *office) write(file, kind string, der []byte) string {
+	path := filepath.Join(o.dir, file)
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		o.t.Fatal(err)
+	}
+	return path
+}
+
+// issue writes a certificate of a name that ends then, and gives a link that uses it and expects peer.
+func (o *office) issue(file, name string, ends time.Time, address, peer string) *settings.Link {
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	der := o.sign(&x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: ends}, &key.PublicKey)
+	raw, _ := x509.MarshalECPrivateKey(key)
+	return &settings.Link{Address: address, Beat: 0.02, Silence: 0.5, Lease: 1, Peer: peer, CA: filepath.Join(o.dir, "ca.pem"),
+		Cert: o.write(file+".pem", "CERTIFICATE", der), Key: o.write(file+".key", "EC PRIVATE KEY", raw)}
+}
+
+// lines is a log that can be searched.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) has(s string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.buf.String(), s)
+}
+
+func (l *lines) logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(l, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
+// planner serves views of an epoch until stop is called.
+func planner(t *testing.T, set *settings.Link, epoch uint64, log *lines) (addr string, stop func()) {
+	var mu sync.Mutex
+	leader := accord.NewLeader(epoch, set.Lease, 0, 1, 0)
+	now := func() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+	p := &PlannerEnd{Set: set, Log: log.logger(), Relay: "r1",
+		Digest: func(d *linkpb.Digest) accord.Reason {
+			mu.Lock()
+			defer mu.Unlock()
+			return leader.Digest(now(), d.Major, d.Edge, d.Life, d.Seq, d.Following)
+		},
+		View: func(edge string, listNo uint64) *linkpb.View {
+			mu.Lock()
+			defer mu.Unlock()
+			h, share, life := leader.View(now(), edge)
+			v := &linkpb.View{Major: h.Major, Epoch: h.Epoch, Number: h.Number, Life: h.Life, Echo: h.Echo, Share: share, Lease: life, ListAt: now(), ListNo: 5}
+			if listNo != 5 {
+				v.HasList, v.Units = true, []*linkpb.Unit{{Id: 1}}
+			}
+			return v
+		}}
+	l, err := Listen(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Serve(ctx, l) }()
+	return l.Addr().String(), func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// edge follows until stop is called; views counts those taken, lists those with the list.
+func edge(t *testing.T, set *settings.Link, log *lines) (e *EdgeEnd, views, lists *atomic.Int64, stop func()) {
+	views, lists = new(atomic.Int64), new(atomic.Int64)
+	from := time.Now()
+	e = &EdgeEnd{Set: set, Log: log.logger(), Now: func() float64 { return 100 + time.Since(from).Seconds() }, Relay: "r1", Edge: "e1", Life: 1,
+		Count: func(*linkpb.Digest) {},
+		Take: func(v *linkpb.View, list, stage bool, until float64) {
+			views.Add(1)
+			if list && v.HasList {
+				lists.Add(1)
+			}
+		}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx, 0) }()
+	return e, views, lists, func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+func soon(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for range 500 {
+		if is() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("not within 5 s: %s", what)
+}
+
+func unixLink(t *testing.T) *settings.Link {
+	return &settings.Link{Address: "unix:" + filepath.Join(t.TempDir(), "s"), Beat: 0.02, Silence: 0.5, Lease: 1}
+}
+
+// A planner that dies and comes back, also on the socket file that a killed one left; one that is older is not followed.
+func TestRestarts(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	set, log := unixLink(t), &lines{}
+	e, views, lists, stop := edge(t, set, log)
+	defer stop()
+	for _, epoch := range []uint64{10, 11, 13} {
+		_, end := planner(t, set, epoch, log)
+		before := views.Load()
+		soon(t, "views", func() bool { return views.Load() > before+5 })
+		if n := e.Numbers(); n.Epoch != epoch {
+			t.Errorf("follows %d, not %d", n.Epoch, epoch)
+		}
+		end()
+	}
+	if n := lists.Load(); n != 1 {
+		t.Errorf("the list came %d times though it did not change", n)
+	}
+	path, _ := set.Unix()
+	stale, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	stale.SetUnlinkOnClose(false)
+	stale.Close()
+	_, end := planner(t, set, 12, log)
+	soon(t, "the older planner hears that it is", func() bool { return log.has("superseded") })
+	if n := e.Numbers(); n.Epoch != 13 {
+		t.Errorf("turned back to %d", n.Epoch)
+	}
+	end()
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Listen(set); err == nil || !strings.Contains(err.Error(), "is no socket") {
+		t.Error("took a file that is no socket:", err)
+	}
+}
+
+// A link that breaks every 50 ms still brings views, and never an older one.
+func TestFlaps(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	set, log := unixLink(t), &lines{}
+	_, end := planner(t, set, 10, log)
+	defer end()
+	path, _ := set.Unix()
+	front := *set
+	front.Address = "unix:" + path + "f"
+	l, err := net.Listen("unix", path+"f")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var flaps atomic.Int64
+	var work sync.WaitGroup
+	work.Go(func() {
+		for {
+			a, err := l.Accept()
+			if err != nil {
+				return
+			}
+			b, err := net.Dial("unix", path)
+			if err != nil {
+				a.Close()
+				continue
+			}
+			work.Go(func() { io.Copy(b, a); b.Close() })
+			work.Go(func() { io.Copy(a, b); a.Close() })
+			work.Go(func() {
+				time.Sleep(50 * time.Millisecond)
+				a.Close()
+				b.Close()
+				flaps.Add(1)
+			})
+		}
+	})
+	_, views, _, stop := edge(t, &front, log)
+	soon(t, "twenty flaps", func() bool { return flaps.Load() >= 20 })
+	if n := views.Load(); n < 10 {
+		t.Errorf("%d views over %d flaps", n, flaps.Load())
+	}
+	stop()
+	l.Close()
+	work.Wait()
+}
+
+// A planner that says nothing is taken for dead, and does not hold the edge up.
+func TestSilentPlanner(t *testing.T) {
+	set, log := unixLink(t), &lines{}
+	path, _ := set.Unix()
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	_, views, _, stop := edge(t, set, log) // connects to what never answers
+	soon(t, "the silence is noticed", func() bool { return log.has("silent for 0.5 s") || log.has("Unavailable") })
+	stop()
+	if views.Load() != 0 {
+		t.Error("views from nobody")
+	}
+}
+
+func TestOtherSchemaOrRelay(t *testing.T) {
+	set, log := unixLink(t), &lines{}
+	_, end := planner(t, set, 10, log)
+	defer end()
+	e, _, _, stop := edge(t, set, log)
+	stop()
+	e.Relay = "r2"
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx, 0) }()
+	soon(t, "the relay is named", func() bool { return log.has(`is of relay \"r2\", this planner of \"r1\"`) })
+	cancel()
+	<-done
+	err := (&PlannerEnd{Relay: "r1"}).Follow(&oneDigest{d: &linkpb.Digest{Major: accord.SchemaMajor + 1, Edge: "e9", Relay: "r1"}})
+	if err == nil || !strings.Contains(err.Error(), `edge "e9" speaks schema 2.0, this planner 1.0`) {
+		t.Error(err)
+	}
+}
+
+type oneDigest struct {
+	linkpb.Planner_FollowServer
+	d *linkpb.Digest
+}
+
+func (o *oneDigest) Recv() (*linkpb.Digest, error) { return o.d, nil }
+
+// Over TCP each end shows a certificate; what is wrong with one is told by name, and a new one is taken without a restart.
+func TestCertificates(t *testing.T) {
+	good, other := newOffice(t, "hall"), newOffice(t, "elsewhere")
+	hour := time.Now().Add(time.Hour)
+	log := &lines{}
+	server := good.issue("plan", "plan.example.org", hour, "127.0.0.1:0", "edge.example.org")
+	addr, end := planner(t, server, 10, log)
+	defer end()
+	for _, c := range []struct {
+		name, want string
+		set        *settings.Link
+	}{
+		{"stranger", `certificate of \"edge.example.org\" (edge.example.org): x509: certificate signed by unknown authority`,
+			func() *settings.Link {
+				l := other.issue("edge", "edge.example.org", hour, addr, "plan.example.org")
+				l.CA = server.CA
+				return l
+			}()},
+		{"expired", "it ended on ", good.issue("old", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")},
+		{"other name", `not \"edge.example.org\" (:peer)`, good.issue("third", "third.example.org", hour, addr, "plan.example.org")},
+		{"planner of other name", `certificate of \"plan.example.org\" (plan.example.org): not \"control.example.org\" (:peer)`,
+			good.issue("edge2", "edge.example.org", hour, addr, "control.example.org")},
+		{"planner unknown", `certificate of \"plan.example.org\" (plan.example.org): x509: certificate signed by unknown authority`,
+			func() *settings.Link {
+				l := good.issue("edge3", "edge.example.org", hour, addr, "plan.example.org")
+				l.CA = filepath.Join(other.dir, "ca.pem")
+				return l
+			}()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			mine := &lines{}
+			_, views, _, stop := edge(t, c.set, mine)
+			soon(t, "one end says why", func() bool { return mine.has(c.want) || log.has(c.want) })
+			stop()
+			if views.Load() != 0 {
+				t.Error("a view came")
+			}
+		})
+	}
+	t.Run("replaced", func(t *testing.T) {
+		set := good.issue("renew", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")
+		_, views, _, stop := edge(t, set, &lines{})
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		if views.Load() != 0 {
+			t.Fatal("an expired certificate was good enough")
+		}
+		good.issue("renew", "edge.example.org", hour, addr, "")
+		soon(t, "views with the new one", func() bool { return views.Load() > 3 })
+		if err := os.WriteFile(set.Cert, []byte("half a f"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f := &files{set: set}
+		if _, _, err := f.read(); err == nil {
+			t.Error("a broken file is no error at a start")
+		}
+	})
+}
+
+// A beat that finds the last digest still unsent replaces it.
+func TestNewestDigestWaits(t *testing.T) {
+	e := &EdgeEnd{Now: func() float64 { return 1 }, Count: func(*linkpb.Digest) {}, follower: accord.NewFollower(1)}
+	next := make(chan *linkpb.Digest, 1)
+	for range 5 {
+		e.put(next)
+	}
+	if d := <-next; d.Seq != 5 || e.Numbers().Dropped != 4 {
+		t.Errorf("digest %d waits, %d dropped", d.Seq, e.Numbers().Dropped)
+	}
+}
