--- a/audit/check.go
+++ b/audit/check.go
@@ -48,6 +48,24 @@
 	ByOp     map[string]float64 `json:"service_by_op"`
 	Wrong    int                `json:"wrong_answers"`
 	PerBuild map[int]int        `json:"deliveries_by_build"`
+	Alive    Times              `json:"acked_in_s"`                 // of tries whose relay was whole
+	Alone    Times              `json:"acked_in_s_without_planner"` // of tries that came while the relay's planner was dead or stood still
+}
+
+// Times are quantiles of how long acked tries took, s.
+type Times struct {
+	N   int     `json:"n"`
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+}
+
+func timesOf(all []float64) Times {
+	if len(all) == 0 {
+		return Times{}
+	}
+	sort.Float64s(all)
+	at := func(q float64) float64 { return all[int(q*float64(len(all)-1))] }
+	return Times{len(all), at(0.5), at(0.99)}
 }
 
 // Kept tells whether no rule was broken.
@@ -159,6 +177,20 @@
 	return false
 }
 
+// alone tells whether a command came while its relay's planner was dead or stood still.
+func (c *checker) alone(cmd *Command) bool {
+	if c.whole[cmd.Relay] == nil {
+		return false
+	}
+	for _, l := range c.Lives {
+		if !l.Planner || l.Relay != cmd.Relay || cmd.Asked < l.From || l.To > 0 && cmd.Asked > l.To {
+			continue
+		}
+		return slices.ContainsFunc(l.Stalls, func(s [2]float64) bool { return s[0] <= cmd.Asked && cmd.Asked <= s[1] })
+	}
+	return true
+}
+
 // answers is rule 1.
 func (c *checker) answers() Rule {
 	r := Rule{Name: "1 final answer"}
@@ -477,6 +509,8 @@
 	type sum struct{ asked, got float64 }
 	var all sum
 	ops := map[string]*sum{}
+	var alive, alone []float64
+	defer func() { rep.Alive, rep.Alone = timesOf(alive), timesOf(alone) }()
 	for _, cmd := range c.Commands {
 		rep.Asked++
 		kind := "none"
@@ -488,6 +522,11 @@
 		good := false
 		if len(cmd.Answers) > 0 {
 			kind = cmd.Answers[0].Kind
+			if took := cmd.Answers[0].At - cmd.Asked; kind == "acked" && c.alone(cmd) {
+				alone = append(alone, took)
+			} else if kind == "acked" {
+				alive = append(alive, took)
+			}
 			good = kind == "acked" && !cmd.Wrong && cmd.Answers[0].At-cmd.First <= cmd.Target
 		}
 		rep.Answers[kind]++
--- a/cmd/flintlab/main.go
+++ b/cmd/flintlab/main.go
@@ -100,6 +100,14 @@
 	return cmd
 }
 
+// alone tells how long answers took while planners were away, against the rest.
+func alone(out *day.Outcome) string {
+	if out.Alone.N == 0 || out.Alive.P99 == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%d without a planner: p99 %.3f s, %.2f times)", out.Alone.N, out.Alone.P99, out.Alone.P99/out.Alive.P99)
+}
+
 // many plays a day with one seed after the other, some at once, and prints a line for each.
 func many(w io.Writer, script day.Script, bin, dir string, kills bool, runs, jobs int) error {
 	var mu sync.Mutex
@@ -126,7 +134,8 @@
 			mu.Lock()
 			defer mu.Unlock()
 			services = append(services, out.Service)
-			fmt.Fprintf(w, "seed %d: service %.3f, %d tries, ended: %s; ", s.Seed, out.Service, out.Asked, out.History[len(out.History)-1].What)
+			fmt.Fprintf(w, "seed %d: service %.3f, %d tries, p99 %.3f s%s, ended: %s; ", s.Seed, out.Service, out.Asked, out.Alive.P99,
+				alone(out), out.History[len(out.History)-1].What)
 			if err := verdict(w, out); err != nil {
 				worst = err
 			}
@@ -160,7 +169,7 @@
 	for _, k := range sorted(out.ByOp) {
 		fmt.Fprintf(w, ", %s %.3f", k, out.ByOp[k])
 	}
-	fmt.Fprintln(w)
+	fmt.Fprintf(w, "\nacked in: p50 %.3f s, p99 %.3f s%s\n", out.Alive.P50, out.Alive.P99, alone(out))
 	for _, r := range out.Rules {
 		fmt.Fprintf(w, "rule %-16s %6d cases, %d broken\n", r.Name, r.Checked, r.Broken)
 	}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -1,7 +1,6 @@
 package plan
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -157,7 +156,7 @@
 	hold  bool // votes are taken and not answered
 }
 
-func (h *hall) serve(t *testing.T) string {
+func (h *hall) serve(t testing.TB) string {
 	mux := http.NewServeMux()
 	stream := func(w http.ResponseWriter, req *http.Request, line func() any) {
 		for req.Context().Err() == nil {
@@ -206,15 +205,20 @@
 	return verdicts
 }
 
-func setOf(t *testing.T, dir, url string, backVotes int) *settings.Plan {
+func exampleSet(t testing.TB, changes ...string) *settings.Plan {
 	text, err := os.ReadFile("../deploy/plan.edn")
 	if err != nil {
 		t.Fatal(err)
 	}
-	set, err := settings.ParsePlan("plan.edn", bytes.Replace(text, []byte(":back-votes 1"), fmt.Appendf(nil, ":back-votes %d", backVotes), 1))
+	set, err := settings.ParsePlan("plan.edn", []byte(strings.NewReplacer(changes...).Replace(string(text))))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return set
+}
+
+func setOf(t *testing.T, dir, url string, backVotes int) *settings.Plan {
+	set := exampleSet(t, ":back-votes 1", fmt.Sprintf(":back-votes %d", backVotes))
 	set.StateDir, set.Admin, set.Sources.List, set.Sources.Installer = dir, "127.0.0.1:0", url+"/list", url
 	set.Link.Address = "unix:" + filepath.Join(dir, "s")
 	return set
--- a/policy/life_test.go
+++ b/policy/life_test.go
@@ -79,3 +79,51 @@
 	// vote on on build 8 stage 0
 	// vote back on build 8 stage 2
 }
+
+// The two seats: edges count and follow, the planner hears and votes. No vote comes of an edge, and what it spends of the
+// free part ends with its lease.
+func Example_seats() {
+	names := [...]string{"none", "on", "hold", "back"}
+	planner := newFleet(nil)
+	edges := []*fleet{newFleet(func(t *Terms) { t.Led = true }), newFleet(func(t *Terms) { t.Led = true })}
+	for _, f := range append(edges, planner) {
+		f.list(false, machine{1, 7, Gone, 0}, machine{5, 8, Ready, 50}, machine{6, 8, Ready, 50})
+		f.b.Stage(f.now, 8, 0, OnTrial, 0.1, 0)
+	}
+	trial := func(f *fleet) int {
+		return f.run(100, 4, func(_ uint32, build int) (Result, float64) {
+			if build == 8 {
+				return Errored, 0.01
+			}
+			return Acked, 0.05
+		})[8]
+	}
+	fmt.Println("without a lease, of 100 commands at most 10:", trial(edges[0]) <= 10)
+	edges[1].b.Follow(0, VoteNone, 1, edges[1].now+1)
+	fmt.Println("lent the whole free part, 10 and 2 more:", trial(edges[1]) <= 12)
+	for range 6 {
+		for _, f := range edges {
+			f.now += 4
+			f.b.Tend(f.now)
+			trial(f)
+		}
+	}
+	fmt.Println("an edge's vote:", names[edges[0].b.standing.verdict])
+	for i, f := range edges {
+		planner.b.Heard([]string{"a", "b"}[i], f.b.Counted(f.now))
+	}
+	planner.vote(1, Counted)
+	build, v := planner.b.Standing()
+	edges[0].b.Follow(build, v, 0.5, edges[0].now+1)
+	fmt.Println("the edge that follows sends the build nothing more:", trial(edges[0]))
+	planner.b.Unheard("a")
+	planner.b.Unheard("b")
+	fmt.Println("nothing heard any more:", len(planner.b.evidence()))
+	// Output:
+	// without a lease, of 100 commands at most 10: true
+	// lent the whole free part, 10 and 2 more: true
+	// an edge's vote: none
+	// vote back on build 8 stage 0
+	// the edge that follows sends the build nothing more: 0
+	// nothing heard any more: 0
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -658,7 +658,7 @@
 		b.floor = 0
 	}
 	b.told, b.build, b.stage, b.phase, b.cap, b.stageAt = true, build, stage, phase, limit, now-age
-	b.merge()
+	b.mergeDue = true
 	b.arrange(now)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -126,8 +126,9 @@
 
 	share, lent float64             // part of what all edges may spend, and until when
 	heard       map[string]Evidence // by edge
-	merged      []*sample           // own and heard
-	others      float64             // rate of the edges heard
+	merged      []*sample           // what they counted together
+	mergeDue    bool
+	others      float64 // rate of the edges heard
 	watchAt     float64
 }
 
@@ -241,13 +242,13 @@
 		b.heard = map[string]Evidence{}
 	}
 	b.heard[edge] = e
-	b.merge()
+	b.mergeDue = true
 }
 
 // Unheard drops an edge's counts.
 func (b *Balancer) Unheard(edge string) {
 	delete(b.heard, edge)
-	b.merge()
+	b.mergeDue = true
 }
 
 // merge sums what was heard of the present build.
@@ -256,7 +257,7 @@
 		unit  uint32
 		build int
 	}
-	b.merged, b.others = nil, 0
+	b.merged, b.others, b.mergeDue = nil, 0, false
 	at := map[key]*sample{}
 	for _, edge := range slices.Sorted(maps.Keys(b.heard)) {
 		e := b.heard[edge]
@@ -286,6 +287,9 @@
 	if b.heard == nil {
 		return b.samples
 	}
+	if b.mergeDue { // once a look, however many edges were heard since the last
+		b.merge()
+	}
 	return b.merged
 }
 
