--- a/accord/follower.go
+++ b/accord/follower.go
@@ -114,8 +114,8 @@
 	return f.based + life
 }
 
-// Age is how old the last view is at the most; there is none yet: from the start of the clock on.
-func (f *Follower) Age(now float64) float64 { return now - max(0, f.based) }
+// Age is how old the last view is at the most. began is when the edge did: there may be none yet.
+func (f *Follower) Age(now, began float64) float64 { return now - max(began, f.based) }
 
 // Follows names the planner's process that counts, 0: none yet.
 func (f *Follower) Follows() (epoch, number uint64) { return f.epoch, f.number }
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -50,6 +50,38 @@
 	}
 }
 
+// Planners and edges are killed and paused while a bad build is judged: no answer is lost, doubled or late, and the sum of
+// each relay's edges keeps the rules.
+func TestPlannerDay(t *testing.T) {
+	script, err := Read(PlannerDay)
+	if err != nil {
+		t.Fatal(err)
+	}
+	script.Length, script.Platform.Slack = 12, 0.15
+	script.Disturb(7)
+	kills := 0
+	for _, e := range script.Events {
+		if e.Do == "planner-killed" || e.Do == "planner-stalled" {
+			kills++
+		}
+	}
+	out, err := Play(script, programs(t), t.TempDir(), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range out.Rules {
+		if r.Broken > 0 {
+			t.Errorf("rule %s: %d of %d broken: %s", r.Name, r.Broken, r.Checked, strings.Join(r.First, "; "))
+		}
+	}
+	if kills < 2 || out.Alone.N == 0 {
+		t.Errorf("%d kills and pauses, %d commands without a planner", kills, out.Alone.N)
+	}
+	if out.Answers["acked"] < out.Asked*9/10 {
+		t.Errorf("%v of %d tries", out.Answers, out.Asked)
+	}
+}
+
 // The checker is not blind to real traffic: the same record, one delivery told twice, is a breach.
 func TestCheckerSeesTraffic(t *testing.T) {
 	script, err := Read("short-day.edn")
--- a/edge/numbers.go
+++ b/edge/numbers.go
@@ -6,11 +6,16 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"flintspread/accord"
+	"flintspread/link"
 	"flintspread/relay"
 )
 
 // numbers gives the relay's counts to Prometheus. They are read when asked for; nothing is counted twice.
-type numbers struct{ relay *relay.Relay }
+type numbers struct {
+	relay *relay.Relay
+	end   *link.EdgeEnd // nil without a planner
+}
 
 func metric(name, help string, labels ...string) *prometheus.Desc {
 	return prometheus.NewDesc("flintedge_"+name, help, labels, nil)
@@ -28,6 +33,11 @@
 	units      = metric("units", "Units known.")
 	listAge    = metric("list_age_seconds", "Time since what the list says was true.")
 	policyTime = metric("policy_seconds_total", "Time spent deciding.")
+	planEpoch  = metric("planner_epoch", "Number of the planner's process that is followed, 0: none yet.")
+	viewAge    = metric("view_age_seconds", "Most that the last view of the planner may be old.")
+	links      = metric("links_total", "Links to the planner made.")
+	viewsBad   = metric("views_refused_total", "Views that did not count.", "reason")
+	dropped    = metric("digests_dropped_total", "Digests that a newer one replaced before they were sent.")
 	policyCall = metric("policy_calls_total", "Decisions asked for.")
 )
 
@@ -62,12 +72,23 @@
 	gauge(inHand, float64(v.Hands))
 	gauge(units, float64(v.Units))
 	gauge(listAge, v.ListAge)
+	if n.end == nil {
+		return
+	}
+	l := n.end.Numbers()
+	gauge(planEpoch, float64(l.Epoch))
+	gauge(viewAge, l.Age)
+	total(links, float64(l.Links))
+	total(dropped, float64(l.Dropped))
+	for r := accord.Taken + 1; int(r) < accord.Reasons; r++ {
+		total(viewsBad, float64(l.Refused[r]), r.String())
+	}
 }
 
 // admin serves the numbers.
 func (e *Edge) admin() http.Handler {
 	reg := prometheus.NewRegistry()
-	reg.MustRegister(numbers{e.relay})
+	reg.MustRegister(numbers{e.relay, e.end})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
 	return mux
--- a/link/edge.go
+++ b/link/edge.go
@@ -36,6 +36,7 @@
 	links    uint64
 	dropped  uint64
 	listNo   uint64 // of the last list taken from a view
+	began    float64
 }
 
 // Numbers is what the end has seen.
@@ -53,7 +54,7 @@
 	n := Numbers{Links: e.links, Dropped: e.dropped}
 	if e.follower != nil {
 		n.Epoch, n.Number = e.follower.Follows()
-		n.Age, n.Refused = e.follower.Age(e.Now()), e.follower.Refused
+		n.Age, n.Refused = e.follower.Age(e.Now(), e.began), e.follower.Refused
 	}
 	return n
 }
@@ -61,7 +62,7 @@
 // Run keeps a link to the planner until ctx ends. listAt is when the list on the edge's disk was true.
 func (e *EdgeEnd) Run(ctx context.Context, listAt float64) error {
 	e.mu.Lock()
-	e.follower = accord.NewFollower(e.Life)
+	e.follower, e.began = accord.NewFollower(e.Life), e.Now()
 	e.follower.Have(listAt)
 	e.mu.Unlock()
 	c, err := creds(e.Set, e.Log)
