Documents: the part of the settings that may change, with checks of its own

Need: settings are to come in versions while relays run; the file and the stream need one reader and one set of checks.

Change: settings.Document holds what may change, an edge's file embeds it; the policy adopts terms, and a command keeps those it came under. New checks: a window below the grace, caps that run backwards or below their stage's share, op types that no route leads to, another schema.

--- a/day/run.go
+++ b/day/run.go
@@ -178,7 +178,7 @@
 // bounds gives the checker the numbers that the relays were given.
 func (s *Script) bounds() audit.Bounds {
 	p, r := s.Platform, s.Rules
-	return audit.Bounds{Slack: p.Slack, Grace: p.Grace, ColdFrom: r.ColdFrom, WarmUp: r.WarmUp, FallFactor: r.FallFactor,
+	return audit.Bounds{Slack: p.Slack, Grace: r.Grace, ColdFrom: r.ColdFrom, WarmUp: r.WarmUp, FallFactor: r.FallFactor,
 		FallTime: r.FallTime, Window: r.Window, Free: r.Free, Caps: s.Release.Caps, PerOp: r.CountPerOp, Guarded: r.Guarded,
 		OneWay: r.OneWayKeys}
 }
@@ -376,7 +376,7 @@
 	} else {
 		b.WriteString(sources(relay, control))
 	}
-	b.WriteString(" :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n")
+	b.WriteString(" :schema 1 :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n")
 	b.WriteString(" :units {:connections 64 :dial-time 0.25 :idle-time 15.0 :answer-bytes 1048576}\n")
 	b.Write(s.shared())
 	b.WriteString(" :routes [")
@@ -413,8 +413,8 @@
 	var b bytes.Buffer
 	r, rel := s.Rules, s.Release
 	fmt.Fprintf(&b, " :rules {:relays %d :round %g :deliveries %d :parallel %t :max-pause %g :cold-from %g :warm-up %g :fall-multiple %g"+
-		" :fall-time %g :window %g :free %g :count-per-op-type %t :guarded-stages %d :one-way-keys %t :keys-kept %d :forget-units %g}\n",
-		r.Relays, r.Round, r.Deliveries, r.Parallel, r.MaxPause, r.ColdFrom, r.WarmUp, r.FallFactor, r.FallTime, r.Window, r.Free,
+		" :fall-time %g :window %g :grace %g :free %g :count-per-op-type %t :guarded-stages %d :one-way-keys %t :keys-kept %d :forget-units %g}\n",
+		r.Relays, r.Round, r.Deliveries, r.Parallel, r.MaxPause, r.ColdFrom, r.WarmUp, r.FallFactor, r.FallTime, r.Window, r.Grace, r.Free,
 		r.CountPerOp, r.Guarded, r.OneWayKeys, r.KeysKept, r.UnitsForget)
 	fmt.Fprintf(&b, " :release {:stages %v :caps %v :back-votes %d :by-clock %t :replace %t :harm-price %g :stale-price %g :report-share %g"+
 		" :vote-life %g :vote-timeout %g :votes-a-second %g}\n", rel.Stages, rel.Caps, rel.BackVotes, rel.ByClock, rel.Replace,
--- a/day/script.go
+++ b/day/script.go
@@ -51,7 +51,6 @@
 // Platform is how the list service and the installer behave.
 type Platform struct {
 	ListLag float64 `edn:"list-lag" validate:"gte=0"`
-	Grace   float64 `edn:"grace" validate:"gt=0"` // of the rules on drains and lower caps
 	Bake    float64 `edn:"bake" validate:"gte=0"`
 	OnVotes int     `edn:"on-votes" validate:"gte=0"`
 	Delay   float64 `edn:"delay" validate:"gte=0"`
--- a/policy/api.go
+++ b/policy/api.go
@@ -70,7 +70,8 @@
 // and enters each delivery it makes.
 type Command struct {
 	ID     uint32
-	Op     int
+	Op     int    // its place among the op types
+	Under  *Terms // it came under; nil: the present ones
 	Key    uint64
 	Came   float64
 	Asked  float64 // when its client first asked, as far as can be told; set by Pick
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,26 +59,39 @@
 )
 
 func New(t Terms, seed uint64, now float64) *Balancer {
-	b := &Balancer{t: t, seed: seed, hash: fnv.New64a(), byID: map[uint32]*unit{}, answered: map[uint64]int{}}
-	b.taken, b.tried = make([][]float64, len(t.Ops)), make([][]float64, len(t.Ops))
-	b.usual, b.plain = make([]float64, len(t.Ops)), make([]float64, len(t.Ops))
-	b.missed, b.given = make([]float64, len(t.Ops)), make([]majority, len(t.Ops))
-	for i, op := range t.Ops {
-		b.missed[i] = math.Inf(-1)
-		b.worth = max(b.worth, op.Importance)
-	}
+	b := &Balancer{seed: seed, hash: fnv.New64a(), byID: map[uint32]*unit{}, answered: map[uint64]int{}}
+	b.Adopt(&t)
 	b.tokens, b.limit, b.watchAt = retryMost/2, math.Inf(1), math.Inf(-1)
 	b.share = float64(one(!t.Led))
 	return b
 }
 
+// Adopt takes terms for what comes from now on; nobody changes them any more. Op types keep their places, and more may
+// follow. A command goes to its end by the terms it came under, but for what is about all commands together: caps, windows,
+// drains and cold units go by the present terms at once, which is sooner than the grace would have it.
+func (b *Balancer) Adopt(t *Terms) {
+	b.t, b.worth = t, 0
+	for i, op := range t.Ops {
+		if i == len(b.usual) {
+			b.taken, b.tried = append(b.taken, nil), append(b.tried, nil)
+			b.usual, b.plain = append(b.usual, 0), append(b.plain, 0)
+			b.missed, b.given = append(b.missed, math.Inf(-1)), append(b.given, majority{})
+		}
+		b.worth = max(b.worth, op.Importance)
+	}
+}
+
 // Pick says where to send a command, or not yet, or never. It is asked when a command comes, when a step's
 // Again is reached, and by After.
 func (b *Balancer) Pick(now float64, c *Command) Step {
 	b.wake(now)
-	op := &b.t.Ops[c.Op]
+	if c.Under == nil {
+		c.Under = b.t
+	}
+	t := c.Under
+	op := &t.Ops[c.Op]
 	if c.Ended || c.Begun {
-		return Step{Recall: c.Ended && b.t.Cancel} // nobody waits for what is still out
+		return Step{Recall: c.Ended && t.Cancel} // nobody waits for what is still out
 	}
 	if len(c.Sent) == 0 && now <= c.Came {
 		b.take(now, c)
@@ -90,19 +103,19 @@
 	further := len(c.Sent) > 0
 	// Half a round early: a hair before the end a held command would be asked about for ever.
 	// Under load nothing goes to a client that asks again after its first try's target has passed.
-	over := now >= c.Due-2.5*b.t.Round || now-c.Came >= op.Target ||
+	over := now >= c.Due-2.5*t.Round || now-c.Came >= op.Target ||
 		b.ratio > hopeful && !further && now-c.Asked >= op.Target
 	if over || !b.mayRepeat(now, c) || further && b.tokens < 1 && !c.Unmet {
 		return b.end(now, c, outs)
 	}
-	if outs > 0 && !b.t.Parallel {
-		return Step{Recall: b.t.Cancel}
+	if outs > 0 && !t.Parallel {
+		return Step{Recall: t.Cancel}
 	}
 	// What is said to be too heavy to be answered in time would only take its unit from others.
 	if c.Work > hopeless && b.usual[c.Op]*(1+c.Work)/2 > c.Asked+op.Target-now {
 		return b.end(now, c, outs)
 	}
-	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*b.t.Round)}
+	hold := Step{Do: Hold, Again: min(now+holdStep, c.Due-2*t.Round)}
 	// Overload: what is open is bounded; the less important waits, then is nacked.
 	if !further && float64(b.open) >= b.limit*(0.6+0.4*op.Importance/b.worth) {
 		if now-c.Asked+2*b.usual[c.Op] > op.Target {
@@ -132,7 +145,7 @@
 		b.tried[i] = append(b.tried[i], now)
 	}
 	u.credit -= c.Work
-	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*b.t.Round}
+	s := Step{Do: Send, Unit: u.id, Until: c.Due - 2*t.Round}
 	if look := now + b.patience(c); op.Effect != AtMostOnce && look < c.Asked+op.Target {
 		s.Again = look
 	}
@@ -182,7 +195,7 @@
 	}
 	// Most tries are given one time. What is given another, and enough, is a later try: its client gives up a
 	// command timeout after it first asked.
-	op, given := &b.t.Ops[c.Op], c.Due-c.Came
+	op, given := &c.Under.Ops[c.Op], c.Due-c.Came
 	if c.Asked = now; !b.given[c.Op].most(given) && given > op.Target {
 		c.Asked = c.Due - op.Timeout
 	}
@@ -192,15 +205,15 @@
 
 // mayRepeat is rule 2: whether another delivery can do no harm.
 func (b *Balancer) mayRepeat(now float64, c *Command) bool {
-	op := &b.t.Ops[c.Op]
-	if len(c.Sent) >= b.t.Deliveries {
+	op := &c.Under.Ops[c.Op]
+	if len(c.Sent) >= c.Under.Deliveries {
 		return false
 	}
 	for _, d := range c.Sent {
 		if !d.Maybe && !d.Out || op.Effect == Redeliverable {
 			continue
 		}
-		if op.Effect == AtMostOnce || now+2*b.t.Round >= d.At+op.Window {
+		if op.Effect == AtMostOnce || now+2*c.Under.Round >= d.At+op.Window {
 			return false
 		}
 	}
@@ -212,14 +225,14 @@
 	if outs > 0 {
 		return Step{}
 	}
-	op := &b.t.Ops[c.Op]
+	op := &c.Under.Ops[c.Op]
 	b.missed[c.Op] = now
 	for _, d := range c.Sent {
 		if d.Maybe && (op.Effect == AtMostOnce || op.Effect == Deduplicated && op.Group != GroupAll) {
 			return Step{Do: Fail}
 		}
 	}
-	return Step{Do: Nack, Pause: b.t.MaxPause}
+	return Step{Do: Nack, Pause: c.Under.MaxPause}
 }
 
 // onTrial tells whether a build is on trial for this balancer. Before any news only the oldest build is not.
@@ -233,7 +246,7 @@
 	if !b.told || build > b.build {
 		capNow, stage = b.t.Caps[0], 0
 	}
-	if capNow <= 0 || stage < b.t.Guarded && b.t.Ops[c.Op].Effect != Redeliverable {
+	if capNow <= 0 || stage < b.t.Guarded && c.Under.Ops[c.Op].Effect != Redeliverable {
 		return 0
 	}
 	i := b.bucket(c.Op)
@@ -304,10 +317,10 @@
 
 // mayTake tells whether a unit may have the command at all, whatever its load.
 func (b *Balancer) mayTake(now float64, c *Command, u *unit) bool {
-	op := &b.t.Ops[c.Op]
+	op := &c.Under.Ops[c.Op]
 	for _, d := range c.Sent {
 		v := b.byID[d.Unit]
-		if v == u && (d.Out || !b.t.Parallel && len(b.units) > 1 && d.Maybe && len(c.Sent) == 1) {
+		if v == u && (d.Out || !c.Under.Parallel && len(b.units) > 1 && d.Maybe && len(c.Sent) == 1) {
 			return false // not where it is, nor where it just failed
 		}
 		if op.Effect == Deduplicated && (d.Out || d.Maybe) && (op.Group == GroupZone && v.zone != u.zone ||
@@ -512,7 +525,7 @@
 		if b.usual[op] > 0 {
 			mean(&u.slow, took/b.usual[op]/size)
 		}
-		mean(&b.usual[op], min(took/size, b.t.Ops[op].Target)) // a few silent units are no overload
+		mean(&b.usual[op], min(took/size, c.Under.Ops[op].Target)) // a few silent units are no overload
 	}
 	if c.Repeat || len(c.Sent) > 1 || !same || now-u.since < settle || u.build > b.build || !b.told {
 		return
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -111,7 +111,7 @@
 // After a restart, with only a cached list and no news, a newer build counts as in its first stage.
 func Example_restart() {
 	f := newFleet(nil)
-	f.b = New(f.b.t, 43, f.now)
+	f.b = New(*f.b.t, 43, f.now)
 	f.list(true, machine{id: 1, build: 7}, machine{id: 5, build: 8}, machine{id: 6, build: 8}, machine{id: 7, build: 8})
 	fmt.Println("within the first stage:", f.run(100, 2, fine)[8] <= 12)
 	f.vote(1, Counted)
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,7 +71,7 @@
 
 // Balancer is one instance's decisions.
 type Balancer struct {
-	t       Terms
+	t       *Terms
 	seed    uint64
 	counter uint64
 	hash    hash.Hash64
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -23,14 +23,21 @@
 	Sources  *Sources `edn:"sources"` // for an edge that judges for itself
 	Planner  *Link    `edn:"planner"` // for one that a planner leads
 	Name     string   `edn:"edge"`    // optional: its name among the edges of a planner
+	Document
+	file   string
+	places *places
+}
+
+// Document is the part that may change while the program runs: in a file it stands beside the rest, from a control service
+// it comes by itself, in numbered versions.
+type Document struct {
+	Schema   int      `edn:"schema" validate:"eq=1"` // of this form
 	Clients  Clients  `edn:"clients"`
 	Units    Units    `edn:"units"`
 	Rules    Rules    `edn:"rules"`
 	Release  Release  `edn:"release"`
 	OpTypes  []OpType `edn:"op-types" validate:"required,min=1,max=256,dive"`
-	Routes   []Route  `edn:"routes" validate:"required,min=1,dive"`
-	file     string
-	places   *places
+	Routes   []Route  `edn:"routes" validate:"required,min=1,max=4096,dive"`
 	terms    policy.Terms
 	opByName map[string]int
 }
@@ -80,6 +87,7 @@
 	FallFactor  float64 `edn:"fall-multiple" validate:"gte=1"`
 	FallTime    float64 `edn:"fall-time" validate:"gt=0"`
 	Window      float64 `edn:"window" validate:"gt=0"`
+	Grace       float64 `edn:"grace" validate:"gt=0"` // of drains and of lower caps
 	Free        float64 `edn:"free" validate:"gte=0"`
 	CountPerOp  bool    `edn:"count-per-op-type"`
 	Guarded     int     `edn:"guarded-stages" validate:"gte=0"`
@@ -121,55 +129,83 @@
 	OpType string `edn:"op-type" validate:"required"`
 }
 
-// Terms gives the module's part of the file.
-func (e *Edge) Terms() policy.Terms { return e.terms }
+// Terms gives the module's part.
+func (d *Document) Terms() policy.Terms { return d.terms }
 
-// Check finds what the fields alone do not show, and fills the module's terms.
+// Check finds what an edge's fields alone do not show, and fills the module's terms.
 func (e *Edge) Check() error {
 	if e.Name == "" {
 		e.Name = e.Relay
 	}
-	var err error
-	if e.terms, err = terms(place{e.file, e.places}, e.Rules, e.Release, e.OpTypes); err != nil {
+	at := place{e.file, e.places}
+	if err := e.Document.check(at); err != nil {
 		return err
 	}
-	e.terms.ConnIdle = e.Units.IdleTime
 	switch {
 	case e.Planner != nil:
 		e.terms.Led = true
 		if key, what := e.Planner.check(); key != "" {
-			return e.fault(":planner "+key, what)
+			return at.fault(":planner "+key, what)
 		}
 		if e.Sources != nil {
-			return e.fault(":sources", "with a :planner the list and the news of releases come from there")
+			return at.fault(":sources", "with a :planner the list and the news of releases come from there")
 		}
 	case e.Sources == nil:
-		return e.fault(":sources", "missing; without a :planner the edge asks for itself")
+		return at.fault(":sources", "missing; without a :planner the edge asks for itself")
+	}
+	return nil
+}
+
+// check finds what makes a rule unkeepable, or a command unanswerable.
+func (d *Document) check(at place) (err error) {
+	if d.terms, err = terms(at, d.Rules, d.Release, d.OpTypes); err != nil {
+		return err
 	}
-	e.opByName = map[string]int{}
-	for i, op := range e.OpTypes {
-		e.opByName[op.Name] = i
+	d.terms.ConnIdle = d.Units.IdleTime
+	d.opByName = map[string]int{}
+	for i, op := range d.OpTypes {
+		d.opByName[op.Name] = i
 	}
-	for i, route := range e.Routes {
-		at := fmt.Sprintf(":routes %d", i)
-		if _, ok := e.opByName[route.OpType]; !ok {
-			return e.fault(at+" :op-type", fmt.Sprintf("no op type is called %q", route.OpType))
+	used := map[string]bool{}
+	seen := map[string]int{}
+	for i, route := range d.Routes {
+		key := fmt.Sprintf(":routes %d", i)
+		if _, ok := d.opByName[route.OpType]; !ok {
+			return at.fault(key+" :op-type", fmt.Sprintf("no op type is called %q", route.OpType))
 		}
-		for j, other := range e.Routes[:i] {
-			if other.Method == route.Method && other.Path == route.Path {
-				return e.fault(at+" :path", fmt.Sprintf("the same as :routes %d", j))
-			}
+		used[route.OpType] = true
+		if j, twice := seen[route.Method+" "+route.Path]; twice {
+			return at.fault(key+" :path", fmt.Sprintf("the same as :routes %d", j))
+		}
+		seen[route.Method+" "+route.Path] = i
+	}
+	for i, op := range d.OpTypes {
+		if !used[op.Name] {
+			return at.fault(fmt.Sprintf(":op-types %d :name", i), fmt.Sprintf("no route leads to %q", op.Name))
 		}
 	}
 	return nil
 }
 
+// ParseDocument reads and checks a document by itself, as a control service sends it; name is what errors call it.
+func ParseDocument(name string, text []byte) (*Document, error) {
+	if len(text) > mostBytes {
+		return nil, &Fault{name, 1, "", fmt.Sprintf("%d bytes; %d at most", len(text), mostBytes)}
+	}
+	d := &Document{}
+	where, err := decode(name, text, d)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.check(place{name, where})
+}
+
 // Op gives the op type of a command by the longest route that its path begins with, -1 where there is none.
-func (e *Edge) Op(method, path string) int {
+func (d *Document) Op(method, path string) int {
 	best, length := -1, -1
-	for i := range e.Routes {
-		if r := &e.Routes[i]; len(r.Path) > length && r.Method == method && strings.HasPrefix(path, r.Path) {
-			best, length = e.opByName[r.OpType], len(r.Path)
+	for i := range d.Routes {
+		if r := &d.Routes[i]; len(r.Path) > length && r.Method == method && strings.HasPrefix(path, r.Path) {
+			best, length = d.opByName[r.OpType], len(r.Path)
 		}
 	}
 	return best
--- a/settings/link.go
+++ b/settings/link.go
@@ -122,6 +122,17 @@
 			return none, at.fault(fmt.Sprintf(":release :stages %d", i), "a stage below the one before it")
 		}
 	}
+	if r.Window < r.Grace {
+		return none, at.fault(":rules :window", fmt.Sprintf("below the grace (%g s): a lower cap would bind after the window it is for", r.Grace))
+	}
+	for i, most := range rel.Caps {
+		if most < rel.Stages[i] {
+			return none, at.fault(fmt.Sprintf(":release :caps %d", i), fmt.Sprintf("%g of a relay's commands for %g of the fleet: the stage's units could not be used", most, rel.Stages[i]))
+		}
+		if i > 0 && most < rel.Caps[i-1] {
+			return none, at.fault(fmt.Sprintf(":release :caps %d", i), "a cap below that of the stage before it")
+		}
+	}
 	if r.Guarded > len(rel.Stages) {
 		return none, at.fault(":rules :guarded-stages", fmt.Sprintf("%d of %d stages", r.Guarded, len(rel.Stages)))
 	}
