--- a/relay/client.go
+++ b/relay/client.go
@@ -8,6 +8,8 @@
 	"math"
 	"net"
 	"time"
+
+	"flintspread/policy"
 )
 
 // client is one client's connection. Its goroutine reads; the answer is written by whoever has it.
@@ -40,7 +42,7 @@
 		}
 		cl := &client{r: r, sock: newSocket(nc), done: make(chan struct{}, 1)}
 		r.mu.Lock()
-		full := len(r.clients) >= r.set.Clients.Connections || r.draining
+		full := len(r.clients) >= r.now.Load().Doc.Clients.Connections || r.draining
 		if full {
 			r.count.ClientsRefused++
 		} else {
@@ -50,7 +52,7 @@
 		}
 		r.mu.Unlock()
 		if full {
-			cl.sock.writeNow(plain(503, "nacked", "too many connections", r.set.Rules.MaxPause).closing().bytes)
+			cl.sock.writeNow(plain(503, "nacked", "too many connections", r.now.Load().Doc.Rules.MaxPause).closing().bytes)
 			nc.Close()
 			continue
 		}
@@ -69,8 +71,8 @@
 	}()
 	g := &gate{from: cl.sock.Conn}
 	br := bufio.NewReaderSize(g, 4096)
-	lim := &r.set.Clients
 	for {
+		lim := &r.now.Load().Doc.Clients
 		g.left = math.MaxInt64
 		cl.sock.SetReadDeadline(time.Now().Add(span(lim.IdleTime)))
 		if _, err := br.Peek(1); err != nil {
@@ -98,7 +100,7 @@
 	switch {
 	case errors.As(err, &bad):
 	case errors.As(err, &late) && late.Timeout():
-		bad = &refusal{408, fmt.Sprintf("the request took longer than %g s", cl.r.set.Clients.ReadTime)}
+		bad = &refusal{408, fmt.Sprintf("the request took longer than %g s", cl.r.now.Load().Doc.Clients.ReadTime)}
 	default:
 		return
 	}
@@ -127,16 +129,17 @@
 	if req.path == wrongPath {
 		return cl.direct(wrongAnswer(r.wrong(req.receipt)))
 	}
-	op := r.set.Op(req.method, req.path)
+	v := r.now.Load()
+	op := v.Slot(req.method, req.path)
 	if op < 0 {
 		return cl.direct(plain(404, "", "no route for "+req.method+" "+req.path, 0))
 	}
-	if r.set.OpTypes[op].Effect == "deduplicated" && !req.mark {
+	if v.Terms.Ops[op].Effect == policy.Deduplicated && !req.mark {
 		return cl.direct(plain(400, "", "an op type with deduplicated commands needs "+headMark, 0))
 	}
 	cl.sock.SetReadDeadline(time.Time{})
 	g.left = math.MaxInt64
-	c := r.accept(cl, req, op)
+	c := r.accept(cl, req, v, op)
 	// Watches for the client's going while the command is in hand. More bytes are its next request; they wait.
 	_, gone := br.Peek(1)
 	if gone != nil && r.left(c) {
@@ -171,7 +174,7 @@
 	if cl.last {
 		ans = ans.closing()
 	} else {
-		until = until.Add(span(cl.r.set.Clients.IdleTime))
+		until = until.Add(span(cl.r.now.Load().Doc.Clients.IdleTime))
 	}
 	cl.sock.SetReadDeadline(until)
 	n, err := cl.sock.writeNow(ans.bytes)
@@ -179,7 +182,7 @@
 		cl.r.conns.Add(1)
 		go func() {
 			defer cl.r.conns.Done()
-			cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.set.Clients.ReadTime)))
+			cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.now.Load().Doc.Clients.ReadTime)))
 			_, err := cl.sock.Write(ans.bytes[n:])
 			cl.sock.SetWriteDeadline(time.Time{})
 			cl.answered(err)
--- a/relay/message.go
+++ b/relay/message.go
@@ -12,6 +12,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"flintspread/version"
 )
 
 // The headers of the command protocol; docs/protocol.md tells them to users.
@@ -24,6 +26,7 @@
 	headAnswer  = "Flint-Answer"  // edge: acked, nacked or failed
 	headReceipt = "Flint-Receipt" // edge: names a delivery, for reports of wrong answers
 	headPause   = "Flint-Pause"   // edge: s, as Retry-After but with fractions
+	headVersion = "Flint-Version" // edge: of the settings that the command was served by
 	headFull    = "Flint-Never-Ran"
 	ownPaths    = "/.flint/"
 	wrongPath   = ownPaths + "wrong"
@@ -152,7 +155,7 @@
 var hopByHop = map[string]bool{
 	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
 	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true, "Host": true,
-	headTime: true, headAnswer: true, headReceipt: true, headPause: true,
+	headTime: true, headVersion: true, headAnswer: true, headReceipt: true, headPause: true,
 }
 
 func writeHeaders(buf *bytes.Buffer, h http.Header) {
@@ -232,8 +235,16 @@
 }
 
 // closing adds the mark that the connection ends with this answer.
-func (a answer) closing() answer {
+func (a answer) closing() answer { return a.with("Connection: close\r\n") }
+
+// under adds the version of the settings that the command was served by.
+func (a answer) under(v *version.Version) answer {
+	return a.with(headVersion + ": " + strconv.FormatUint(v.No, 10) + "\r\n")
+}
+
+func (a answer) with(line string) answer {
 	i := bytes.Index(a.bytes, []byte("\r\n")) + 2
-	out := append(append([]byte(nil), a.bytes[:i]...), "Connection: close\r\n"...)
+	out := make([]byte, 0, len(a.bytes)+len(line))
+	out = append(append(out, a.bytes[:i]...), line...)
 	return answer{append(out, a.bytes[i:]...), a.kind}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,12 +11,14 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"flintspread/policy"
 	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
+	"flintspread/version"
 )
 
 // Relay is one instance: a policy and the connections it decides about.
@@ -27,12 +29,15 @@
 
 	base  time.Time // on the clock that only goes forward, wall tells when that was
 	wall  float64
+	now   atomic.Pointer[version.Version] // in force; readers take no lock
 	stop  chan struct{}
 	wake  chan struct{} // the timer is to look again
 	conns sync.WaitGroup
 
 	mu       sync.Mutex // orders the policy's calls; all below is under it
 	b        *policy.Balancer
+	keeper   *version.Keeper
+	byOp     []int // commands in hand, by the place of their op type
 	dues     dues
 	timerAt  float64 // what the timer waits for
 	turnAt   float64
@@ -43,6 +48,7 @@
 	units    map[*unitConn]struct{}
 	clients  map[*client]struct{}
 	draining bool
+	listNo   uint64
 	listAt   float64 // when what the list says was true
 	count    Numbers
 }
@@ -64,9 +70,10 @@
 	policy.Command
 	client *client
 	req    *request
-	outs   []*delivery // as long as Sent
-	again  float64     // earliest time to ask the policy again, 0: not
-	next   float64     // earliest of again and the deliveries' ends
+	under  *version.Version // it is served by from start to end
+	outs   []*delivery      // as long as Sent
+	again  float64          // earliest time to ask the policy again, 0: not
+	next   float64          // earliest of again and the deliveries' ends
 	place  int
 }
 
@@ -76,7 +83,10 @@
 	r := &Relay{set: set, log: log, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
 		pools: map[uint32]*pool{}, units: map[*unitConn]struct{}{}, clients: map[*client]struct{}{}}
-	r.b = policy.New(set.Terms(), seed, r.wall)
+	r.keeper = version.NewKeeper(&set.Document, nil, 0, set.Patience())
+	r.now.Store(r.keeper.Present())
+	r.b = policy.New(*r.keeper.Present().Terms, seed, r.wall)
+	r.byOp = make([]int, len(r.keeper.Present().Terms.Ops))
 	r.turnAt, r.listAt = r.wall, r.wall
 	r.conns.Add(1)
 	go r.keepTime()
@@ -93,7 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
-	r.listAt = now - line.Age
+	r.listAt, r.listNo = now-line.Age, line.Version
 	line.Tell(r.b, now)
 	if line.Full {
 		for _, p := range r.pools {
@@ -162,18 +172,19 @@
 
 // accept takes a command and does the first of what follows. The path of an ordinary command is: accept, Pick, send,
 // serveUnit, arrived, After, the answer.
-func (r *Relay) accept(cl *client, req *request, op int) *command {
+func (r *Relay) accept(cl *client, req *request, v *version.Version, op int) *command {
 	r.mu.Lock()
 	now := r.Now()
 	r.lastID++
-	c := &command{client: cl, req: req, place: -1, Command: policy.Command{
-		ID: r.lastID, Op: op, Key: req.key, Came: now, Due: now + r.set.OpTypes[op].Timeout, Work: req.work, Repeat: req.repeat}}
+	c := &command{client: cl, req: req, under: v, place: -1, Command: policy.Command{ID: r.lastID, Op: op, Under: v.Terms,
+		Key: req.key, Came: now, Due: now + v.Terms.Ops[op].Timeout, Work: req.work, Repeat: req.repeat}}
 	if req.due > 0 {
 		c.Due = min(c.Due, now+req.due)
 	}
 	cl.cmd = c
 	r.count.Taken++
 	r.hands++
+	r.byOp[op]++
 	var a acts
 	r.apply(now, c, r.pick(now, c), &a)
 	r.mu.Unlock()
@@ -211,14 +222,14 @@
 		}
 	case policy.Nack:
 		r.count.Nacked++
-		r.finish(c, plain(503, "nacked", "not done; trying again does no harm", s.Pause), a)
+		r.finish(c, plain(503, "nacked", "not done; trying again does no harm", s.Pause).under(c.under), a)
 	case policy.Fail:
 		r.count.Failed++
 		status := 502
 		if n := len(c.outs); n > 0 && c.outs[n-1].result == policy.TimedOut {
 			status = 504
 		}
-		r.finish(c, plain(status, "failed", "failed; it may have been done", 0), a)
+		r.finish(c, plain(status, "failed", "failed; it may have been done", 0).under(c.under), a)
 	}
 	if s.Recall {
 		for _, d := range c.outs {
@@ -265,6 +276,7 @@
 func (r *Relay) finish(c *command, ans answer, a *acts) {
 	c.Ended = true
 	r.hands--
+	r.byOp[c.Op]--
 	a.answer, a.to = ans, c.client
 	c.client.cmd = nil
 	if r.draining {
@@ -353,7 +365,7 @@
 		}
 		var idle acts
 		if r.sweepAt <= now {
-			r.sweepAt = now + min(1, r.set.Units.IdleTime/4)
+			r.sweepAt = now + min(1, r.now.Load().Doc.Units.IdleTime/4)
 			r.sweep(now, &idle)
 		}
 		next := min(r.turnAt, r.sweepAt)
@@ -405,6 +417,7 @@
 	now := r.Now()
 	r.count.Left++
 	r.hands--
+	r.byOp[c.Op]--
 	c.Ended = true
 	c.client.cmd = nil
 	var a acts
@@ -424,8 +437,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	age := r.Now() - at
-	if !(age >= 0 && age < r.set.Rules.UnitsForget) {
-		return fmt.Errorf("%s: %q is not of the last %.0f s", headReceipt, receipt, r.set.Rules.UnitsForget)
+	if !(age >= 0 && age < r.now.Load().Doc.Rules.UnitsForget) {
+		return fmt.Errorf("%s: %q is not of the last %.0f s", headReceipt, receipt, r.now.Load().Doc.Rules.UnitsForget)
 	}
 	r.count.Wrong++
 	r.b.Flagged(r.Now(), unit, age)
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -40,6 +40,8 @@
 	id     uint32
 	addr   string
 	listed bool
+	zone   uint16
+	cell   uint16
 	idle   []*unitConn // the longest idle first; the latest is used first
 	conns  int
 }
@@ -83,7 +85,7 @@
 		p = &pool{id: u.ID, addr: u.Addr}
 		r.pools[u.ID] = p
 	}
-	p.listed = true
+	p.listed, p.zone, p.cell = true, u.Zone, u.Cell
 }
 
 // dropPools forgets the units that left the list and have no connection any more.
@@ -99,7 +101,7 @@
 func (r *Relay) sweep(now float64, a *acts) {
 	for _, p := range r.pools {
 		n := 0
-		for n < len(p.idle) && (!p.listed || now-p.idle[n].since > r.set.Units.IdleTime) {
+		for n < len(p.idle) && (!p.listed || now-p.idle[n].since > r.now.Load().Doc.Units.IdleTime) {
 			n++
 		}
 		for _, uc := range append([]*unitConn(nil), p.idle[:n]...) {
@@ -141,7 +143,7 @@
 		a.sends = append(a.sends, d)
 		return true
 	}
-	if p.conns >= r.set.Units.Connections {
+	if p.conns >= r.now.Load().Doc.Units.Connections {
 		return false
 	}
 	p.conns++
@@ -199,7 +201,7 @@
 // serveUnit makes a connection to a unit and reads from it until it ends.
 func (r *Relay) serveUnit(uc *unitConn) {
 	defer r.conns.Done()
-	nc, err := net.DialTimeout("tcp", uc.pool.addr, time.Duration(r.set.Units.DialTime*float64(time.Second)))
+	nc, err := net.DialTimeout("tcp", uc.pool.addr, time.Duration(r.now.Load().Doc.Units.DialTime*float64(time.Second)))
 	r.mu.Lock()
 	uc.dialing = false
 	var a acts
@@ -238,7 +240,7 @@
 			r.broken(uc, d)
 			return
 		}
-		ans, status, full, keep, err := readAnswer(br, g, d.cmd.req.method, fmt.Sprintf("%d-%.3f", d.unit, d.at), r.set.Units.AnswerBytes)
+		ans, status, full, keep, err := readAnswer(br, g, d.cmd.req.method, fmt.Sprintf("%d-%.3f", d.unit, d.at), d.cmd.under.Doc.Units.AnswerBytes)
 		if err != nil {
 			r.log.Debug("unit's answer", "unit", d.unit, "addr", uc.pool.addr, "error", err)
 			r.broken(uc, d)
@@ -276,7 +278,7 @@
 		r.ended(now, d, policy.Errored, &a)
 	default:
 		r.count.Acked++
-		r.finish(c, ans, &a)
+		r.finish(c, ans.under(c.under), &a)
 		r.ended(now, d, policy.Acked, &a)
 	}
 	r.mu.Unlock()
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -23,11 +23,15 @@
 	Sources  *Sources `edn:"sources"` // for an edge that judges for itself
 	Planner  *Link    `edn:"planner"` // for one that a planner leads
 	Name     string   `edn:"edge"`    // optional: its name among the edges of a planner
+	Control  *Control `edn:"control"` // optional: where versions of the document, and the list, come from
 	Document
 	file   string
 	places *places
 }
 
+// DocumentSchema is the form of a document that this program reads.
+const DocumentSchema = 1
+
 // Document is the part that may change while the program runs: in a file it stands beside the rest, from a control service
 // it comes by itself, in numbered versions.
 type Document struct {
@@ -129,6 +133,14 @@
 	OpType string `edn:"op-type" validate:"required"`
 }
 
+// Patience is how long a version of the settings may wait for what it belongs with, s.
+func (e *Edge) Patience() float64 {
+	if e.Control == nil {
+		return 0
+	}
+	return e.Control.Patience
+}
+
 // Terms gives the module's part.
 func (d *Document) Terms() policy.Terms { return d.terms }
 
--- /dev/null
+++ b/xds/client.go
@@ -0,0 +1,184 @@
+package xds
+
+import (
+	"context"
+
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"flintspread/roster"
+	"flintspread/stream"
+	"flintspread/version"
+)
+
+// Client follows a control service.
+type Client struct {
+	Address     string
+	Creds       credentials.TransportCredentials
+	Log         *slog.Logger
+	Session     *Session
+	Relay       string
+	Least, Most float64 // s of pause before coming back
+	Silence     float64 // s after which the service is asked whether it lives
+	MostBytes   int     // of one response; a larger one breaks the stream before it is held
+	// List takes a list; Settings takes a version or says that it waits; a reason turns it down. Neither may wait.
+	List     func(*roster.Line) error
+	Settings func(*version.Version) (version.Outcome, error)
+	// Look is asked for a version that waited, each time that a list was taken and every Beat seconds.
+	Look func() (*version.Version, version.Outcome, error)
+	Beat float64
+}
+
+// Run follows until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	conn, err := grpc.NewClient("passthrough:///"+c.Address, grpc.WithTransportCredentials(c.Creds),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(c.MostBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: secs(max(c.Silence, 10)), Timeout: secs(c.Silence), PermitWithoutStream: false}))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		came, err := c.once(ctx, conn)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if came > 0 {
+			n = 0
+		}
+		// Half of the pause is chance: a hundred relays that lost the service together come back apart.
+		wait := stream.Pause(n, c.Least, c.Most, rand.Float64())
+		c.Log.Warn("control stream broke", "address", c.Address, "responses", came, "error", err, "again_in", fmt.Sprintf("%.2fs", wait))
+		select {
+		case <-ctx.Done():
+		case <-time.After(secs(wait)):
+		}
+	}
+	return nil
+}
+
+func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// once holds one stream until it breaks, and tells how many responses came.
+func (c *Client) once(ctx context.Context, conn *grpc.ClientConn) (came int, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := discovery.NewAggregatedDiscoveryServiceClient(conn).StreamAggregatedResources(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, req := range c.Session.Open() {
+		if err := s.Send(req); err != nil {
+			return 0, c.why(s, err)
+		}
+	}
+	type arrival struct {
+		r   *discovery.DiscoveryResponse
+		err error
+	}
+	arrivals := make(chan arrival)
+	go func() {
+		for {
+			r, err := s.Recv()
+			select {
+			case arrivals <- arrival{r, err}:
+			case <-ctx.Done():
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	look := time.NewTicker(secs(c.Beat))
+	defer look.Stop()
+	var waits *discovery.DiscoveryResponse // the document that waits for its list
+	for {
+		select {
+		case <-ctx.Done():
+			return came, ctx.Err()
+		case <-look.C:
+		case a := <-arrivals:
+			if a.err != nil {
+				return came, a.err
+			}
+			came++
+			if err := c.take(s, a.r, &waits); err != nil {
+				return came, err
+			}
+		}
+		if waits == nil {
+			continue
+		}
+		if _, o, err := c.Look(); o != version.Waits {
+			r := waits
+			waits = nil
+			if err := c.answer(s, r, err); err != nil {
+				return came, err
+			}
+		}
+	}
+}
+
+// why finds the stream's own error behind a failed sending.
+func (c *Client) why(s discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, err error) error {
+	if _, e := s.Recv(); e != nil {
+		return e
+	}
+	return err
+}
+
+// take enters one response.
+func (c *Client) take(s discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, r *discovery.DiscoveryResponse,
+	waits **discovery.DiscoveryResponse) error {
+	news, again, err := c.Session.Came(r)
+	if err != nil {
+		return err
+	}
+	if again != nil {
+		return s.Send(again)
+	}
+	if !news {
+		return nil
+	}
+	if r.TypeUrl == TypeUnits {
+		line, err := Units(r)
+		if err == nil {
+			err = c.List(line)
+		}
+		return c.answer(s, r, err)
+	}
+	if *waits != nil { // overtaken by this one
+		*waits = nil
+	}
+	v, err := Document(r, c.Relay)
+	if err != nil {
+		return c.answer(s, r, err)
+	}
+	o, err := c.Settings(v)
+	if o == version.Waits && err == nil {
+		c.Log.Info("settings wait for the list that they belong with", "version", v.No, "list", v.Needs)
+		*waits = r
+		return nil
+	}
+	return c.answer(s, r, err)
+}
+
+func (c *Client) answer(s discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, r *discovery.DiscoveryResponse, reason error) error {
+	if reason != nil {
+		c.Log.Error("turned down", "type", r.TypeUrl, "version", r.VersionInfo, "nonce", r.Nonce, "reason", reason)
+	} else {
+		c.Log.Info("taken", "type", r.TypeUrl, "version", r.VersionInfo, "nonce", r.Nonce)
+	}
+	if req := c.Session.Settle(r, reason); req != nil {
+		return s.Send(req)
+	}
+	return nil
+}
--- /dev/null
+++ b/xds/document.go
@@ -0,0 +1,41 @@
+package xds
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
+	"google.golang.org/protobuf/proto"
+
+	"flintspread/settings"
+	"flintspread/version"
+	"flintspread/xds/xdspb"
+)
+
+// Document reads the one document of a response, by the reader that reads a file.
+func Document(r *discovery.DiscoveryResponse, relay string) (*version.Version, error) {
+	if len(r.Resources) != 1 {
+		return nil, fmt.Errorf("%d documents; one is wanted", len(r.Resources))
+	}
+	if t := r.Resources[0].TypeUrl; t != TypeDocument {
+		return nil, fmt.Errorf("a resource of type %q", t)
+	}
+	var d xdspb.Document
+	if err := proto.Unmarshal(r.Resources[0].Value, &d); err != nil {
+		return nil, err
+	}
+	if d.Name != relay {
+		return nil, fmt.Errorf("a document for %q", d.Name)
+	}
+	if d.Number == 0 {
+		return nil, fmt.Errorf("number 0, which is the file's")
+	}
+	if d.Schema != settings.DocumentSchema {
+		return nil, fmt.Errorf("schema %d; this program reads %d", d.Schema, settings.DocumentSchema)
+	}
+	doc, err := settings.ParseDocument(fmt.Sprintf("version-%d", d.Number), []byte(d.Text))
+	if err != nil {
+		return nil, err
+	}
+	return &version.Version{No: d.Number, Sum: xxhash.Sum64String(d.Text), Text: []byte(d.Text), Doc: doc, Needs: d.NeedsList}, nil
+}
