--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,8 @@
 	box   *release.Box
 	end   *link.EdgeEnd // nil where the edge judges for itself
 
+	kept remembered // by the link's goroutine
+
 	newsMu sync.Mutex
 	newest uint64 // version of the newest that was taken
 }
@@ -80,6 +82,7 @@
 	} else {
 		e.relay = relay.New(set, seed, log, nil)
 		e.fromDisk()
+		e.recall()
 		e.end = &link.EdgeEnd{Set: set.Planner, Log: log, Now: e.relay.Now, Relay: set.Relay, Edge: set.Name,
 			Life: uint64(time.Now().UnixNano()), Terms: TermsHash(set.Terms()), Count: e.count, Take: e.takeView}
 		running.Go(func() {
--- a/edge/led.go
+++ b/edge/led.go
@@ -1,7 +1,12 @@
 package edge
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,6 +47,8 @@
 		line := &release.News{Version: v.StageNo, Build: int(v.Build), Stage: int(v.Stage), Phase: v.Phase, Cap: v.Cap, Age: v.StageAge}
 		if err := e.news(line); err != nil {
 			e.log.Error("news in a view", "error", err)
+		} else {
+			e.remember(line)
 		}
 	}
 	e.relay.Follow(int(v.VerdictBuild), policy.Verdict(v.Verdict), v.Share, until)
@@ -56,3 +63,53 @@
 	}
 	return e.takeList(line)
 }
+
+// remembered is the last news on disk: an edge that is started anew while its planner is away has no other.
+type remembered struct {
+	News release.News `json:"news"`
+	At   float64      `json:"at"` // when it was confirmed, s since 1970
+}
+
+const confirmEvery = 1.0 // s between writings of the same news
+
+func (e *Edge) newsFile() string { return filepath.Join(e.set.StateDir, "news.json") }
+
+// remember keeps news on disk. It is called by the link's goroutine alone.
+func (e *Edge) remember(line *release.News) {
+	now := wall()
+	if line.Version == e.kept.News.Version && now < e.kept.At+confirmEvery {
+		return
+	}
+	e.kept = remembered{*line, now}
+	text, err := json.Marshal(e.kept)
+	if err == nil {
+		err = roster.Replace(e.newsFile(), text)
+	}
+	if err != nil {
+		e.log.Error("news not saved", "error", err)
+	}
+}
+
+// recall gives the relay the news of the process before, which judges by its age whether it counts. A file that can't be read
+// is no news.
+func (e *Edge) recall() {
+	text, err := os.ReadFile(e.newsFile())
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	var k remembered
+	if err == nil {
+		err = json.Unmarshal(text, &k)
+	}
+	if err == nil {
+		err = k.News.Check(len(e.set.Release.Stages))
+	}
+	if err != nil {
+		e.log.Error("last news", "error", err)
+		return
+	}
+	ago := max(0, wall()-k.At)
+	e.log.Info("last news", "build", k.News.Build, "stage", k.News.Stage, "phase", k.News.Phase, "confirmed", fmt.Sprintf("%.1fs ago", ago))
+	e.newest = k.News.Version
+	e.relay.Recall(k.News.Build, k.News.Stage, k.News.PhaseOf(), k.News.Cap, k.News.Age, ago)
+}
--- a/policy/life_test.go
+++ b/policy/life_test.go
@@ -127,3 +127,17 @@
 	// the edge that follows sends the build nothing more: 0
 	// nothing heard any more: 0
 }
+
+// An edge that starts anew while its planner is away goes on by the news that it had, but not by old news.
+func Example_recall() {
+	for _, ago := range []float64{2, 60} {
+		f := newFleet(func(t *Terms) { t.Led = true })
+		f.b = New(f.b.t, 1, f.now)
+		f.list(true, machine{4, 7, Ready, 0}, machine{5, 8, Ready, 50}, machine{6, 8, Ready, 50}, machine{7, 8, Ready, 50})
+		f.b.Recall(f.now, 8, 2, OnTrial, 1, 5, ago)
+		fmt.Println("news confirmed", ago, "s ago; most go to the trial build:", f.run(100, 4, fine)[8] > 50)
+	}
+	// Output:
+	// news confirmed 2 s ago; most go to the trial build: true
+	// news confirmed 60 s ago; most go to the trial build: false
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -670,6 +670,15 @@
 	b.share, b.lent = share, until
 }
 
+// Recall enters, at an edge's start, the news that the process before it had, confirmed some time ago. While its planner is
+// away nobody else tells it, and a fleet that is all of one build on trial would be held to the first stage's cap. Such news
+// holds for as long as a vote does without word from who cast it.
+func (b *Balancer) Recall(now float64, build, stage int, phase Phase, limit, age, ago float64) {
+	if ago < b.t.VoteLife {
+		b.Stage(now, build, stage, phase, limit, age+ago)
+	}
+}
+
 // Stood enters, at a start, the vote that was cast age ago by the process before. An unsure one may have counted or not: it
 // is renewed, or withdrawn, at once.
 func (b *Balancer) Stood(now float64, build, stage int, v Verdict, age float64, sure bool) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -134,6 +134,13 @@
 	return r.listAt
 }
 
+// Recall enters news that the process before had, confirmed some time ago.
+func (r *Relay) Recall(build, stage int, phase policy.Phase, limit, age, ago float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.b.Recall(r.Now(), build, stage, phase, limit, age, ago)
+}
+
 // VoteAnswered enters what became of the vote last cast.
 func (r *Relay) VoteAnswered(reply policy.VoteReply) {
 	r.mu.Lock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,12 +133,17 @@
 	return line
 }
 
-// Save writes the list so that a kill at any point leaves the old file or the new one, whole.
-func (l *List) Save(file string) (err error) {
+// Save writes the list.
+func (l *List) Save(file string) error {
 	text, err := json.Marshal(l)
 	if err != nil {
 		return err
 	}
+	return Replace(file, text)
+}
+
+// Replace writes a file so that a kill at any point leaves the old one or the new one, whole.
+func Replace(file string, text []byte) (err error) {
 	dir := filepath.Dir(file)
 	tmp, err := os.CreateTemp(dir, filepath.Base(file)+".new-*")
 	if err != nil {
