xDS: an edge takes documents and lists from a control service in versions

Need: settings change while relays run; each version is to be applied whole or turned down with the reason.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,7 +74,21 @@
 		e.box.Open()
 		e.relay = relay.New(set, seed, log, e.box.Cast)
 		e.fromDisk()
-		running.Go(func() { stream.Follow(feeds, e.source(set.Sources.List), e.takeList, func() {}) })
+		if set.Control == nil {
+			running.Go(func() { stream.Follow(feeds, e.source(set.Sources.List), e.takeList, func() {}) })
+		} else {
+			vs, err := e.openVersions()
+			if err != nil {
+				stopFeeds()
+				return err
+			}
+			defer vs.store.Close()
+			running.Go(func() {
+				if err := vs.follow(feeds); err != nil {
+					failed <- err
+				}
+			})
+		}
 		running.Go(func() {
 			stream.Follow(feeds, e.source(set.Sources.Installer+"/stage"), e.takeNews, func() {})
 		})
--- /dev/null
+++ b/edge/versions.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"flintspread/history"
+	"flintspread/link"
+	"flintspread/roster"
+	"flintspread/settings"
+	"flintspread/version"
+	"flintspread/xds"
+)
+
+// versions follows a control service: its documents are the settings' versions, its endpoint assignments the list.
+type versions struct {
+	e     *Edge
+	store *history.Store
+}
+
+// openVersions opens the history and puts the last version that was in force in force again: with the service gone the edge
+// runs on that, and says how old it is.
+func (e *Edge) openVersions() (*versions, error) {
+	store, aside, err := history.Open(filepath.Join(e.set.StateDir, "versions.db"))
+	if err != nil {
+		return nil, err
+	}
+	if aside != "" {
+		e.log.Error("history of the settings set aside; starting on the file's", "file", aside)
+	}
+	vs := &versions{e, store}
+	last, err := store.Last()
+	if err != nil || last == nil {
+		return vs, err
+	}
+	doc, err := settings.ParseDocument(fmt.Sprintf("version-%d", last.No), []byte(last.Text))
+	if err == nil {
+		v := &version.Version{No: last.No, Sum: last.Sum, Text: []byte(last.Text), Doc: doc}
+		_, err = e.relay.Offer(v) // what it belonged with came before; it needs nothing now
+	}
+	if err != nil {
+		e.log.Error("last version of the settings not taken; starting on the file's", "version", last.No, "error", err)
+		return vs, nil
+	}
+	e.log.Info("last version of the settings", "version", last.No, "in_force", fmt.Sprintf("%.0fs ago", wall()-last.Since))
+	return vs, nil
+}
+
+// follow follows the service until ctx ends.
+func (vs *versions) follow(ctx context.Context) error {
+	c := vs.e.set.Control
+	var creds credentials.TransportCredentials = insecure.NewCredentials()
+	if c.Cert != "" {
+		var err error
+		if creds, err = link.Creds(&settings.Link{Address: c.Address, Cert: c.Cert, Key: c.Key, CA: c.CA, Peer: c.Peer}, vs.e.log); err != nil {
+			return fmt.Errorf(":control: %w", err)
+		}
+	}
+	client := &xds.Client{Address: c.Address, Creds: creds, Log: vs.e.log, Session: xds.NewSession(vs.e.set.Name, vs.e.set.Relay), Relay: vs.e.set.Relay,
+		Least: c.BackLeast, Most: c.BackMost, Silence: c.Silence, MostBytes: c.MostBytes, Beat: min(c.Patience/4, c.Silence),
+		List: vs.list, Settings: vs.take, Look: vs.look}
+	return client.Run(ctx)
+}
+
+// list takes a list, unless it is older than the one there: it was overtaken, or the service went back.
+func (vs *versions) list(line *roster.Line) error {
+	if vs.e.list.Version > line.Version {
+		return fmt.Errorf("list version %d is older than %d, which is in force", line.Version, vs.e.list.Version)
+	}
+	return vs.e.takeList(line)
+}
+
+// take offers a version, and notes it before it is acknowledged: what was acknowledged is in force after a kill.
+func (vs *versions) take(v *version.Version) (version.Outcome, error) {
+	before := vs.e.relay.Version().No
+	o, err := vs.e.relay.Offer(v)
+	if err == nil && o == version.Applied {
+		vs.note(v, before)
+	}
+	return o, err
+}
+
+func (vs *versions) look() (*version.Version, version.Outcome, error) {
+	before := vs.e.relay.Version().No
+	v, o, err := vs.e.relay.Look()
+	if err == nil && v != nil && o == version.Applied {
+		vs.note(v, before)
+	}
+	return v, o, err
+}
+
+func (vs *versions) note(v *version.Version, before uint64) {
+	err := vs.store.Add(history.Entry{No: v.No, Parent: before, Since: wall(), Sum: v.Sum, Needs: v.Needs, Text: string(v.Text)})
+	if err != nil { // it serves on; a restart would go on the one before
+		vs.e.log.Error("version of the settings not saved", "version", v.No, "error", err)
+	}
+	vs.e.log.Info("settings in force", "version", v.No, "before", before)
+}
--- a/link/edge.go
+++ b/link/edge.go
@@ -65,7 +65,7 @@
 	e.follower, e.began = accord.NewFollower(e.Life), e.Now()
 	e.follower.Have(listAt)
 	e.mu.Unlock()
-	c, err := creds(e.Set, e.Log)
+	c, err := Creds(e.Set, e.Log)
 	if err != nil {
 		return fmt.Errorf(":planner: %w", err)
 	}
--- a/link/planner.go
+++ b/link/planner.go
@@ -57,7 +57,7 @@
 
 // Serve serves until ctx ends.
 func (p *PlannerEnd) Serve(ctx context.Context, l net.Listener) error {
-	c, err := creds(p.Set, p.Log)
+	c, err := Creds(p.Set, p.Log)
 	if err != nil {
 		return fmt.Errorf(":link: %w", err)
 	}
--- a/policy/life_test.go
+++ b/policy/life_test.go
@@ -132,7 +132,7 @@
 func Example_recall() {
 	for _, ago := range []float64{2, 60} {
 		f := newFleet(func(t *Terms) { t.Led = true })
-		f.b = New(f.b.t, 1, f.now)
+		f.b = New(*f.b.t, 1, f.now)
 		f.list(true, machine{4, 7, Ready, 0}, machine{5, 8, Ready, 50}, machine{6, 8, Ready, 50}, machine{7, 8, Ready, 50})
 		f.b.Recall(f.now, 8, 2, OnTrial, 1, 5, ago)
 		fmt.Println("news confirmed", ago, "s ago; most go to the trial build:", f.run(100, 4, fine)[8] > 50)
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -159,9 +159,16 @@
 		if key, what := e.Planner.check(); key != "" {
 			return at.fault(":planner "+key, what)
 		}
+		if e.Control != nil {
+			return at.fault(":control", "with a :planner the versions of the settings are the planner's matter")
+		}
 		if e.Sources != nil {
 			return at.fault(":sources", "with a :planner the list and the news of releases come from there")
 		}
+	case e.Control != nil && e.Sources != nil:
+		if c := e.Control; (c.Cert != "" || c.Key != "" || c.CA != "" || c.Peer != "") && (c.Cert == "" || c.Key == "" || c.CA == "" || c.Peer == "") {
+			return at.fault(":control", "of :cert, :key, :ca and :peer all are needed, or none")
+		}
 	case e.Sources == nil:
 		return at.fault(":sources", "missing; without a :planner the edge asks for itself")
 	}
