--- a/audit/check_test.go
+++ b/audit/check_test.go
@@ -121,6 +121,16 @@
 		r.Deliveries[1].At = 10.2
 		r.Commands[2].Answers[0].At = 10.3
 	}, func(b *Bounds) { b.OneWay = true })
+	show("one-way key, the relay was killed in between", func(r *Record) {
+		trial(1, 10.005)(r)
+		r.Commands[1].Answers[0] = Answer{10.006, "acked", 2}
+		r.Deliveries[1].At, r.Commands[2].Asked = 10.2, 10.15
+		r.Commands[2].Answers[0].At = 10.3
+		r.Commands[3].Answers[0] = Answer{10.003, "acked", 1}
+		r.Deliveries[2].At = 10.002
+		r.Lives = []*Life{{Relay: "r1", From: 0, To: 10.1, Killed: true}, {Relay: "r1", From: 10.12}}
+		r.News = append(r.News, News{10.13, "r1", 2, 0, "on-trial", 0.1})
+	}, func(b *Bounds) { b.OneWay = true })
 	led := func(n int, lives ...*Life) func(*Record) {
 		return func(r *Record) {
 			trial(n, 10.1)(r)
@@ -166,6 +176,7 @@
 	// released:
 	// guarded stage: rule 5 exposure: r1 sent a at-most-once command to build 2 in guarded stage 0
 	// one-way key: rule 5 exposure: r1 sent key "k" to build 1 after build 2 had answered it
+	// one-way key, the relay was killed in between:
 	// two edges that are led, over the sum: rule 5 exposure: r1 sent build 2 (stage 0, cap 0.10) 2 deliveries in the window up to 10.110; 1.3 at most of 3 commands
 	// two edges that are led, within:
 	// drain told to a planner that stood still:
--- a/cmd/flintplan/main.go
+++ b/cmd/flintplan/main.go
@@ -28,6 +28,7 @@
 		&cobra.Command{Use: "state DIR", Short: "Print what a stopped planner left in its state folder", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error { return plan.PrintState(cmd.OutOrStdout(), args[0]) }},
 	)
+	root.AddCommand(configCommand())
 	program.Main(root)
 }
 
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -159,6 +159,9 @@
 		if key, what := e.Planner.check(); key != "" {
 			return at.fault(":planner "+key, what)
 		}
+		if e.Shared && e.Rules.OneWayKeys {
+			return at.fault(":rules :one-way-keys", "edges that share a port do not know each other's keys")
+		}
 		if e.Control != nil {
 			return at.fault(":control", "with a :planner the versions of the settings are the planner's matter")
 		}
