--- a/cmd/flintlab/main.go
+++ b/cmd/flintlab/main.go
@@ -34,7 +34,7 @@
 func dayCommand() *cobra.Command {
 	var jsonFile, bin, keep string
 	var seed uint64
-	var kills bool
+	var kills, storm bool
 	var runs, jobs int
 	cmd := &cobra.Command{Use: "day [FILE]", Short: "Play a day, the built-in bad one without a file", Args: cobra.MaximumNArgs(1)}
 	cmd.Flags().StringVar(&jsonFile, "json", "", "write the outcome to this file too")
@@ -42,6 +42,7 @@
 	cmd.Flags().StringVar(&keep, "keep", "", "keep the relays' files and logs in this folder")
 	cmd.Flags().Uint64Var(&seed, "seed", 0, "seed of clients and kills, instead of the script's")
 	cmd.Flags().BoolVar(&kills, "planner-kills", false, "kill, pause and restart planners and edges; without a file, the planners' day")
+	cmd.Flags().BoolVar(&storm, "config-storm", false, "a control service sends a version of the settings each second, one in three bad")
 	cmd.Flags().IntVar(&runs, "runs", 1, "play it so often, each with the next seed")
 	cmd.Flags().IntVar(&jobs, "jobs", 1, "so many at once")
 	cmd.RunE = func(cmd *cobra.Command, args []string) error {
@@ -59,6 +60,10 @@
 		if seed != 0 {
 			script.Seed = seed
 		}
+		if storm {
+			script.Storm = &day.Storm{Every: 1}
+			script.Edges = 0
+		}
 		if bin == "" {
 			self, err := os.Executable()
 			if err != nil {
@@ -170,6 +175,9 @@
 		fmt.Fprintf(w, ", %s %.3f", k, out.ByOp[k])
 	}
 	fmt.Fprintf(w, "\nacked in: p50 %.3f s, p99 %.3f s%s\n", out.Alive.P50, out.Alive.P99, alone(out))
+	if out.Versions != "" {
+		fmt.Fprintln(w, "settings:", out.Versions)
+	}
 	for _, r := range out.Rules {
 		fmt.Fprintf(w, "rule %-16s %6d cases, %d broken\n", r.Name, r.Checked, r.Broken)
 	}
--- a/day/run.go
+++ b/day/run.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +23,8 @@
 // Outcome is what a day showed.
 type Outcome struct {
 	*audit.Report
-	History []standin.Moment `json:"history"`
+	History  []standin.Moment `json:"history"`
+	Versions string           `json:"versions,omitempty"` // of the settings
 }
 
 // run is a day in play.
@@ -39,6 +41,7 @@
 	clients   *standin.Clients
 	edges     processes
 	planners  processes
+	storm     *storm
 	control   string // address of list and installer
 	ctx       context.Context
 
@@ -129,6 +132,12 @@
 	if err := r.serveControl(); err != nil {
 		return nil, err
 	}
+	if script.Storm != nil {
+		if r.storm, err = r.newStorm(); err != nil {
+			return nil, err
+		}
+		script.controls = r.storm.address
+	}
 	addrs, names := map[string]string{}, []string{}
 	defer r.stopAll()
 	for i := range script.Relays {
@@ -158,6 +167,9 @@
 		r.after(e.At, func() { kinds[e.Do](r, e) })
 	}
 	r.after(0, func() { r.tell(progress) })
+	if r.storm != nil {
+		r.after(0, r.storm.blow)
+	}
 	r.clients.Run(r.from + script.Length)
 	end()
 	r.timers.Wait()
@@ -169,7 +181,11 @@
 		history[i].At -= r.from
 	}
 	watch(r.rec)
-	return &Outcome{audit.Check(r.rec, script.bounds()), history}, errors.Join(r.errs...)
+	out := &Outcome{Report: audit.Check(r.rec, script.bounds()), History: history}
+	if r.storm != nil {
+		out.Versions = r.storm.outcome()
+	}
+	return out, errors.Join(r.errs...)
 }
 
 // watch is shown a day's record before it is checked; tests look at it.
@@ -376,9 +392,21 @@
 	} else {
 		b.WriteString(sources(relay, control))
 	}
-	b.WriteString(" :schema 1 :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n")
-	b.WriteString(" :units {:connections 64 :dial-time 0.25 :idle-time 15.0 :answer-bytes 1048576}\n")
+	if control := s.controls[relay]; control != "" {
+		fmt.Fprintf(&b, " :control {:address %q :silence 2.0 :back-least 0.05 :back-most 0.5 :patience 1.0 :most-bytes 4000000}\n", control)
+	}
+	b.WriteString(" :schema 1" + limits)
 	b.Write(s.shared())
+	b.WriteString(s.routes() + "}\n")
+	return b.Bytes()
+}
+
+const limits = " :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n" +
+	" :units {:connections 64 :dial-time 0.25 :idle-time 15.0 :answer-bytes 1048576}\n"
+
+// routes writes a path for each op type.
+func (s *Script) routes() string {
+	var b strings.Builder
 	b.WriteString(" :routes [")
 	for _, op := range s.OpTypes {
 		method := "POST"
@@ -387,8 +415,8 @@
 		}
 		fmt.Fprintf(&b, "{:method %q :path \"/%s/\" :op-type %q}\n", method, op.Name, op.Name)
 	}
-	b.WriteString("]}\n")
-	return b.Bytes()
+	b.WriteString("]")
+	return b.String()
 }
 
 const linkTimes = ":beat 0.1 :silence 1.0 :lease 1.0"
--- a/day/script.go
+++ b/day/script.go
@@ -21,6 +21,7 @@
 	Length   float64               `edn:"length" validate:"gt=0"`
 	Relays   int                   `edn:"relays" validate:"gt=0,lte=64"`
 	Edges    int                   `edn:"edges"`                // of each relay, led by a planner; 0: one, which judges for itself
+	Storm    *Storm                `edn:"-"`                    // versions of the settings from a control service
 	Rate     float64               `edn:"rate" validate:"gt=0"` // commands a second, all relays together
 	Units    Fleet                 `edn:"units"`
 	Clients  Habits                `edn:"clients"`
@@ -30,6 +31,7 @@
 	OpTypes  []OpType              `edn:"op-types" validate:"required,min=1,dive"`
 	Builds   map[int]standin.Build `edn:"builds" validate:"required"`
 	Events   []Event               `edn:"events"`
+	controls map[string]string     // addresses of control services, by relay
 }
 
 // Fleet is the units' part.
--- a/standin/control.go
+++ b/standin/control.go
@@ -24,7 +24,8 @@
 // and keeps what it was asked and answered.
 type Control struct {
 	discovery.UnimplementedAggregatedDiscoveryServiceServer
-	srv *grpc.Server
+	srv   *grpc.Server
+	Relay string // whom it serves, for its owner
 
 	mu      sync.Mutex
 	streams map[*controlStream]struct{}
--- a/standin/list.go
+++ b/standin/list.go
@@ -23,6 +23,8 @@
 	shown   map[uint32]roster.Unit
 	known   map[string]map[uint32]bool // by relay: units it was told are ready (false: not)
 	subs    map[*sub]struct{}
+	mirror  func(relay string, version uint64, units []roster.Unit)
+	relays  []string
 }
 
 type change struct {
@@ -37,6 +39,13 @@
 		subs: map[*sub]struct{}{}}
 }
 
+// Mirror has each change told by another way too, whole, to relays of those names. What is told so is noted as told.
+func (l *List) Mirror(tell func(relay string, version uint64, units []roster.Unit), relays []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mirror, l.relays = tell, relays
+}
+
 // Put enters what became of a unit.
 func (l *List) Put(u roster.Unit) {
 	l.mu.Lock()
@@ -96,6 +105,16 @@
 			line.Units = append(line.Units, u)
 		}
 	}
+	if l.mirror != nil {
+		full := roster.Line{Version: l.version, Full: true}
+		for _, u := range l.shown {
+			full.Units = append(full.Units, u)
+		}
+		for _, relay := range l.relays {
+			l.mirror(relay, l.version, full.Units)
+			l.note(relay, full)
+		}
+	}
 	for s := range l.subs {
 		select {
 		case s.lines <- line:
@@ -110,6 +129,10 @@
 func (l *List) told(relay string, line roster.Line) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.note(relay, line)
+}
+
+func (l *List) note(relay string, line roster.Line) {
 	known := l.known[relay]
 	if known == nil {
 		known = map[uint32]bool{}
