Persistent unit list and route tree: a new version costs what it changes

Need: a version of 10,000 units that differs in a hundred is not to be built and told anew, and readers take no lock.

Change: roster.List is an immutable sorted map, Take gives the changes alone and only they are told on; routes are a radix tree for each method.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -157,9 +157,9 @@
 		e.log.Error("last list", "error", err)
 	}
 	e.list = *list
-	if len(list.Units) > 0 {
+	if list.Len() > 0 {
 		line := list.Full(wall())
-		e.log.Info("last list", "units", len(list.Units), "version", list.Version, "age", fmt.Sprintf("%.1fs", line.Age))
+		e.log.Info("last list", "units", list.Len(), "version", list.Version, "age", fmt.Sprintf("%.1fs", line.Age))
 		e.relay.List(line)
 	}
 }
@@ -171,11 +171,12 @@
 	if err := line.Check(); err != nil {
 		return err
 	}
-	if err := e.list.Take(line, wall()); err != nil {
+	changes, err := e.list.Take(line, wall())
+	if err != nil {
 		return err
 	}
-	e.relay.List(line)
-	if line.Full || len(line.Units) > 0 {
+	e.relay.List(changes)
+	if len(changes.Units) > 0 {
 		if err := e.list.Save(e.file); err != nil { // it serves on without
 			e.log.Error("list not saved", "error", err)
 		}
--- a/plan/numbers.go
+++ b/plan/numbers.go
@@ -53,7 +53,7 @@
 	}
 	total(viewed, p.views)
 	gauge(listAge, now-p.list.At)
-	gauge(units, float64(len(p.list.Units)))
+	gauge(units, float64(p.list.Len()))
 	_, v := p.b.Standing()
 	gauge(stands, float64(v))
 }
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -134,7 +134,7 @@
 	if st.List != nil {
 		p.list = *st.List
 		p.list.Full(now).Tell(p.b, now)
-		p.log.Info("last list", "units", len(p.list.Units), "version", p.list.Version, "age", fmt.Sprintf("%.1fs", now-p.list.At))
+		p.log.Info("last list", "units", p.list.Len(), "version", p.list.Version, "age", fmt.Sprintf("%.1fs", now-p.list.At))
 	}
 	if n := st.News; n != nil && n.Check(len(p.set.Release.Stages)) == nil {
 		p.enter(*n, st.At)
@@ -156,16 +156,16 @@
 	}
 	p.mu.Lock()
 	now := p.now()
-	err := p.list.Take(line, now)
+	changes, err := p.list.Take(line, now)
 	if err == nil {
-		line.Tell(p.b, now)
+		changes.Tell(p.b, now)
 	}
 	p.mu.Unlock()
 	if err != nil {
 		return err
 	}
 	p.end.Tell()
-	if line.Full || len(line.Units) > 0 {
+	if len(changes.Units) > 0 {
 		select {
 		case p.saves <- struct{}{}:
 		default:
@@ -263,7 +263,7 @@
 	}
 	if listNo != p.list.Version {
 		v.HasList = true
-		for _, u := range p.list.Units {
+		for u := range p.list.All() {
 			v.Units = append(v.Units, &linkpb.Unit{Id: u.ID, Addr: u.Addr, State: u.State, Build: int32(u.Build), Zone: uint32(u.Zone),
 				Cell: uint32(u.Cell), Heft: u.Heft, Start: u.Start})
 		}
--- a/plan/store.go
+++ b/plan/store.go
@@ -85,9 +85,6 @@
 	if news.At > 0 {
 		st.News, st.At = &news.News, news.At
 	}
-	if st.List != nil {
-		return st.List.Full(st.List.At).Check()
-	}
 	return nil
 }
 
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -3,8 +3,8 @@
 
 import (
 	"fmt"
-	"strings"
 
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
 	"olympos.io/encoding/edn"
 
 	"flintspread/policy"
@@ -44,6 +44,7 @@
 	Routes   []Route  `edn:"routes" validate:"required,min=1,max=4096,dive"`
 	terms    policy.Terms
 	opByName map[string]int
+	byPath   map[string]*iradix.Tree[int] // op type by path, for each method
 }
 
 // Log says how the program's own log is written.
@@ -188,6 +189,7 @@
 	for i, op := range d.OpTypes {
 		d.opByName[op.Name] = i
 	}
+	d.byPath = map[string]*iradix.Tree[int]{}
 	used := map[string]bool{}
 	seen := map[string]int{}
 	for i, route := range d.Routes {
@@ -200,6 +202,11 @@
 			return at.fault(key+" :path", fmt.Sprintf("the same as :routes %d", j))
 		}
 		seen[route.Method+" "+route.Path] = i
+		tree := d.byPath[route.Method]
+		if tree == nil {
+			tree = iradix.New[int]()
+		}
+		d.byPath[route.Method], _, _ = tree.Insert([]byte(route.Path), d.opByName[route.OpType])
 	}
 	for i, op := range d.OpTypes {
 		if !used[op.Name] {
@@ -224,11 +231,12 @@
 
 // Op gives the op type of a command by the longest route that its path begins with, -1 where there is none.
 func (d *Document) Op(method, path string) int {
-	best, length := -1, -1
-	for i := range d.Routes {
-		if r := &d.Routes[i]; len(r.Path) > length && r.Method == method && strings.HasPrefix(path, r.Path) {
-			best, length = d.opByName[r.OpType], len(r.Path)
-		}
+	tree := d.byPath[method]
+	if tree == nil {
+		return -1
+	}
+	if _, op, ok := tree.Root().LongestPrefix([]byte(path)); ok {
+		return op
 	}
-	return best
+	return -1
 }
