Planners take versions: proposed to all edges, in force once each can take it

Need: a version that the planner takes and an edge can not must not leave a relay under two.

Change: version.Round decides by what edges say; views carry the version in force, the one proposed and the text that an edge lacks; digests what is in force, fits or is refused and why. Planner and edges keep their history and start on it.

--- a/accord/leader.go
+++ b/accord/leader.go
@@ -1,6 +1,9 @@
 package accord
 
-import "strconv"
+import (
+	"sort"
+	"strconv"
+)
 
 // Leader is a planner's end.
 type Leader struct {
@@ -84,6 +87,16 @@
 	return names
 }
 
+// Names gives the edges alive.
+func (l *Leader) Names() []string {
+	names := make([]string, 0, len(l.edges))
+	for name := range l.edges {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Edges is how many are alive.
 func (l *Leader) Edges() int { return len(l.edges) }
 
--- a/cmd/flintlab/main.go
+++ b/cmd/flintlab/main.go
@@ -62,7 +62,6 @@
 		}
 		if storm {
 			script.Storm = &day.Storm{Every: 1}
-			script.Edges = 0
 		}
 		if bin == "" {
 			self, err := os.Executable()
--- a/day/run.go
+++ b/day/run.go
@@ -392,8 +392,8 @@
 	} else {
 		b.WriteString(sources(relay, control))
 	}
-	if control := s.controls[relay]; control != "" {
-		fmt.Fprintf(&b, " :control {:address %q :silence 2.0 :back-least 0.05 :back-most 0.5 :patience 1.0 :most-bytes 4000000}\n", control)
+	if s.Edges == 0 {
+		b.WriteString(s.control(relay))
 	}
 	b.WriteString(" :schema 1" + limits)
 	b.Write(s.shared())
@@ -401,6 +401,14 @@
 	return b.Bytes()
 }
 
+// control names a relay's control service where the day has one.
+func (s *Script) control(relay string) string {
+	if s.controls[relay] == "" {
+		return ""
+	}
+	return fmt.Sprintf(" :control {:address %q :silence 2.0 :back-least 0.05 :back-most 0.5 :patience 1.0 :most-bytes 4000000}\n", s.controls[relay])
+}
+
 const limits = " :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n" +
 	" :units {:connections 64 :dial-time 0.25 :idle-time 15.0 :answer-bytes 1048576}\n"
 
@@ -426,6 +434,7 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "{:relay %q :admin %q :state-dir %q :log {:format :text :level :info}\n%s :link {:address %q %s}\n",
 		relay, admin, state, sources(relay, control), link, linkTimes)
+	b.WriteString(s.control(relay))
 	b.Write(s.shared())
 	b.WriteString("}\n")
 	return b.Bytes()
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -37,6 +37,7 @@
 	box   *release.Box
 	end   *link.EdgeEnd // nil where the edge judges for itself
 
+	led  *led       // nil where the edge judges for itself
 	kept remembered // by the link's goroutine
 
 	newsMu sync.Mutex
@@ -97,6 +98,13 @@
 		e.relay = relay.New(set, seed, log, nil)
 		e.fromDisk()
 		e.recall()
+		vs, err := e.openVersions()
+		if err != nil {
+			stopFeeds()
+			return err
+		}
+		defer vs.store.Close()
+		e.led = &led{vs: vs}
 		e.end = &link.EdgeEnd{Set: set.Planner, Log: log, Now: e.relay.Now, Relay: set.Relay, Edge: set.Name,
 			Life: uint64(time.Now().UnixNano()), Terms: TermsHash(set.Terms()), Count: e.count, Take: e.takeView}
 		running.Go(func() {
--- a/edge/led.go
+++ b/edge/led.go
@@ -25,6 +25,7 @@
 // count fills a digest.
 func (e *Edge) count(d *linkpb.Digest) {
 	c := e.relay.Counted()
+	e.led.say(d)
 	d.Build, d.Rate, d.ListAt = int32(c.Build), c.Rate, e.relay.ListAt()
 	d.Tally = make([]*linkpb.Tally, 0, len(c.Tally))
 	for _, t := range c.Tally {
@@ -51,6 +52,7 @@
 			e.remember(line)
 		}
 	}
+	e.led.view(v)
 	e.relay.Follow(int(v.VerdictBuild), policy.Verdict(v.Verdict), v.Share, until)
 }
 
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -1,15 +1,18 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"path/filepath"
+	"sync"
 
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"flintspread/history"
 	"flintspread/link"
+	"flintspread/link/linkpb"
 	"flintspread/roster"
 	"flintspread/settings"
 	"flintspread/version"
@@ -37,9 +40,8 @@
 	if err != nil || last == nil {
 		return vs, err
 	}
-	doc, err := settings.ParseDocument(fmt.Sprintf("version-%d", last.No), []byte(last.Text))
+	v, err := version.Read(last.No, []byte(last.Text))
 	if err == nil {
-		v := &version.Version{No: last.No, Sum: last.Sum, Text: []byte(last.Text), Doc: doc}
 		_, err = e.relay.Offer(v) // what it belonged with came before; it needs nothing now
 	}
 	if err != nil {
@@ -100,3 +102,51 @@
 	}
 	vs.e.log.Info("settings in force", "version", v.No, "before", before)
 }
+
+// led is an edge's part in the versions that its planner leads it to. The link's goroutine alone enters views; digests read
+// what it says under the lock.
+type led struct {
+	vs *versions
+
+	mu      sync.Mutex
+	have    *version.Version // the last whose text came
+	fits    uint64
+	refused uint64
+	reason  string
+}
+
+// say fills a digest.
+func (l *led) say(d *linkpb.Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d.ConfigNo = l.vs.e.relay.Version().No
+	d.ConfigFits, d.ConfigRefused, d.ConfigReason = l.fits, l.refused, l.reason
+}
+
+// view enters what a view says of versions: a proposed one is looked at, one that is to be in force is put in force. What
+// does not fit now is looked at again with each view.
+func (l *led) view(v *linkpb.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v.ConfigTextNo > 0 && (l.have == nil || l.have.No != v.ConfigTextNo || !bytes.Equal(l.have.Text, v.ConfigText)) {
+		got, err := version.Read(v.ConfigTextNo, v.ConfigText)
+		if err != nil {
+			l.refused, l.reason = v.ConfigTextNo, err.Error()
+			return
+		}
+		l.have = got
+	}
+	switch h := l.have; {
+	case h == nil:
+	case h.No == v.ConfigNo && h.No != l.vs.e.relay.Version().No:
+		if _, err := l.vs.take(h); err != nil {
+			l.refused, l.reason = h.No, err.Error()
+		}
+	case h.No == v.ConfigNext:
+		if _, err := l.vs.e.relay.Fits(h); err != nil {
+			l.refused, l.reason = h.No, err.Error()
+		} else {
+			l.fits = h.No
+		}
+	}
+}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -25,6 +25,7 @@
 	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
+	"flintspread/version"
 )
 
 // A child that saves votes without end, to be killed.
@@ -383,3 +384,88 @@
 		t.Error(err)
 	}
 }
+
+// A version that the planner takes and an edge can not is turned down for all; one that all can take is in force at the planner
+// and goes along to the edges; an edge that starts anew is led to it.
+func TestVersionsThroughEdges(t *testing.T) {
+	text, err := os.ReadFile("../deploy/edge.edn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	doc := "{" + string(text[strings.Index(string(text), ":schema"):])
+	h := &hall{}
+	set := setOf(t, t.TempDir(), h.serve(t), 1)
+	set.Control = &settings.Control{Patience: 0.5}
+	s, _, _, err := Open(set.StateDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	p := newPlanner(set, slog.New(slog.NewTextHandler(io.Discard, nil)), s)
+	p.begin(9, State{})
+	if p.vs, err = p.openVersions(); err != nil {
+		t.Fatal(err)
+	}
+	seq := uint64(0)
+	say := func(edge string, inForce, fits, refused uint64, reason string) *linkpb.View {
+		seq++
+		p.digest(&linkpb.Digest{Major: accord.SchemaMajor, Relay: "r1", Edge: edge, Life: 1, Seq: seq, ConfigNo: inForce, ConfigFits: fits,
+			ConfigRefused: refused, ConfigReason: reason})
+		return p.view(edge, 0)
+	}
+	propose := func(no uint64, text string) {
+		v, err := version.Read(no, []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if o, err := p.vs.propose(v); o != version.Waits || err != nil {
+			t.Fatal(o, err)
+		}
+	}
+	look := func(want version.Outcome, why string) {
+		t.Helper()
+		_, o, err := p.vs.look()
+		if o != want || (err == nil) != (why == "") || err != nil && !strings.Contains(err.Error(), why) {
+			t.Errorf("%v %v, want %v %s", o, err, want, why)
+		}
+	}
+	say("a", 0, 0, 0, "")
+	say("b", 0, 0, 0, "")
+	propose(4, doc)
+	if v := say("a", 0, 0, 0, ""); v.ConfigNext != 4 || v.ConfigTextNo != 4 || string(v.ConfigText) != doc || v.ConfigNo != 0 {
+		t.Error(v.ConfigNo, v.ConfigNext, v.ConfigTextNo)
+	}
+	look(version.Waits, "")
+	say("a", 0, 4, 0, "")
+	say("b", 0, 0, 4, "commands in hand")
+	look(version.TurnedDown, `edge "b": commands in hand`)
+	if v := say("a", 0, 4, 0, ""); v.ConfigNext != 0 || v.ConfigNo != 0 {
+		t.Error("a version that was turned down is still proposed")
+	}
+	propose(5, doc+" ")
+	say("a", 0, 5, 0, "")
+	look(version.Waits, "")
+	say("b", 0, 5, 0, "")
+	look(version.Applied, "")
+	if v := say("a", 0, 5, 0, ""); v.ConfigNo != 5 || v.ConfigTextNo != 0 {
+		t.Error("a has the text, and is to put it in force", v.ConfigNo, v.ConfigTextNo)
+	}
+	if v := say("c", 0, 0, 0, ""); v.ConfigNo != 5 || v.ConfigTextNo != 5 {
+		t.Error("one that starts lacks the text", v.ConfigNo, v.ConfigTextNo)
+	}
+	old, err := version.Read(4, []byte(doc))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := p.vs.propose(old); o != version.TurnedDown || err == nil {
+		t.Error("went back to 4", o, err)
+	}
+	propose(6, doc+"  ")
+	time.Sleep(600 * time.Millisecond)
+	look(version.TurnedDown, "no word in time from edges a, b, c")
+	p.vs.store.Close()
+	if p.vs, err = p.openVersions(); err != nil || p.vs.keeper.Present().No != 5 {
+		t.Error("after a restart", err)
+	}
+	p.vs.store.Close()
+}
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -46,6 +46,8 @@
 		build   int
 		verdict policy.Verdict
 	}
+	vs        *versions
+	said      map[string]said // by edges, of versions
 	odd       map[string]bool // edges whose terms differ, told once
 	superTold bool
 	digests   uint64
@@ -68,6 +70,10 @@
 		return fmt.Errorf("state: %w", err)
 	}
 	p.begin(epoch, st)
+	if p.vs, err = p.openVersions(); err != nil {
+		return err
+	}
+	defer p.vs.store.Close()
 	listener, err := link.Listen(&set.Link)
 	if err != nil {
 		return fmt.Errorf(":link :address: %w", err)
@@ -88,8 +94,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running sync.WaitGroup
-	failed := make(chan error, 1)
-	running.Go(func() { stream.Follow(ctx, source(set.Sources.List), p.takeList, func() {}) })
+	failed := make(chan error, 2)
+	if set.Control == nil {
+		running.Go(func() { stream.Follow(ctx, source(set.Sources.List), p.takeList, func() {}) })
+	} else {
+		running.Go(func() {
+			if err := p.vs.follow(ctx); err != nil {
+				failed <- err
+			}
+		})
+	}
 	running.Go(func() { stream.Follow(ctx, source(set.Sources.Installer+"/stage"), p.takeNews, func() {}) })
 	running.Go(func() { p.box.Run(ctx) })
 	running.Go(func() { p.save(ctx) })
@@ -112,7 +126,7 @@
 func newPlanner(set *settings.Plan, log *slog.Logger, store *Store) *Planner {
 	now := time.Now()
 	p := &Planner{set: set, log: log, store: store, base: now, wall: float64(now.UnixNano()) / 1e9,
-		terms: edge.TermsHash(set.Terms()), saves: make(chan struct{}, 1), odd: map[string]bool{}}
+		terms: edge.TermsHash(set.Terms()), saves: make(chan struct{}, 1), odd: map[string]bool{}, said: map[string]said{}}
 	seed := set.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -245,6 +259,10 @@
 	}
 	p.digests++
 	p.b.Heard(d.Edge, e)
+	p.said[d.Edge] = said{d.ConfigNo, d.ConfigFits}
+	if p.vs != nil {
+		p.vs.heard(d)
+	}
 	return r
 }
 
@@ -268,6 +286,9 @@
 				Cell: uint32(u.Cell), Heft: u.Heft, Start: u.Start})
 		}
 	}
+	if p.vs != nil {
+		p.vs.tell(v, p.said[name])
+	}
 	p.views++
 	return v
 }
@@ -292,6 +313,7 @@
 	for _, name := range p.leader.Dead(now) {
 		p.b.Unheard(name)
 		delete(p.odd, name)
+		delete(p.said, name)
 		p.log.Info("edge silent", "edge", name)
 	}
 	p.b.ListAge(now - p.list.At)
--- /dev/null
+++ b/plan/versions.go
@@ -0,0 +1,159 @@
+package plan
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"flintspread/history"
+	"flintspread/link"
+	"flintspread/link/linkpb"
+	"flintspread/roster"
+	"flintspread/settings"
+	"flintspread/version"
+	"flintspread/xds"
+)
+
+// versions is the planner's part in the versions of the settings: it takes them from a control service, proposes each to its
+// edges, and puts it in force once all of them can take it.
+type versions struct {
+	p      *Planner
+	store  *history.Store
+	keeper *version.Keeper // under the planner's lock, as the next
+	round  *version.Round
+}
+
+// openVersions opens the history and goes on with the version that was in force last.
+func (p *Planner) openVersions() (*versions, error) {
+	store, aside, err := history.Open(filepath.Join(p.set.StateDir, "versions.db"))
+	if err != nil {
+		return nil, err
+	}
+	if aside != "" {
+		p.log.Error("history of the settings set aside; starting on the file's", "file", aside)
+	}
+	vs := &versions{p: p, store: store, keeper: version.NewKeeper(p.set.Document(), nil, 0, 0)}
+	last, err := store.Last()
+	if err != nil || last == nil {
+		return vs, err
+	}
+	v, err := version.Read(last.No, []byte(last.Text))
+	if err != nil {
+		p.log.Error("last version of the settings not taken; starting on the file's", "version", last.No, "error", err)
+		return vs, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, err = vs.enter(v)
+	return vs, err
+}
+
+// follow follows the control service until ctx ends.
+func (vs *versions) follow(ctx context.Context) error {
+	c := vs.p.set.Control
+	var creds credentials.TransportCredentials = insecure.NewCredentials()
+	if c.Cert != "" {
+		var err error
+		if creds, err = link.Creds(&settings.Link{Address: c.Address, Cert: c.Cert, Key: c.Key, CA: c.CA, Peer: c.Peer}, vs.p.log); err != nil {
+			return fmt.Errorf(":control: %w", err)
+		}
+	}
+	client := &xds.Client{Address: c.Address, Creds: creds, Log: vs.p.log, Session: xds.NewSession(vs.p.set.Relay, vs.p.set.Relay), Relay: vs.p.set.Relay,
+		Least: c.BackLeast, Most: c.BackMost, Silence: c.Silence, MostBytes: c.MostBytes, Beat: vs.p.set.Link.Beat,
+		List: vs.list, Settings: vs.propose, Look: vs.look}
+	return client.Run(ctx)
+}
+
+func (vs *versions) list(line *roster.Line) error {
+	vs.p.mu.Lock()
+	old := vs.p.list.Version
+	vs.p.mu.Unlock()
+	if line.Version < old {
+		return fmt.Errorf("list version %d is older than %d, which is in force", line.Version, old)
+	}
+	return vs.p.takeList(line)
+}
+
+// situation is what a version would meet here; what it would meet at the edges, they say.
+func (vs *versions) situation(v *version.Version) version.Situation {
+	s := version.Situation{ListNo: v.Needs}
+	for u := range vs.p.list.All() {
+		s.Zones, s.Cells = s.Zones || u.Zone > 0, s.Cells || u.Cell > 0
+	}
+	return s
+}
+
+// propose begins a round.
+func (vs *versions) propose(v *version.Version) (version.Outcome, error) {
+	vs.p.mu.Lock()
+	defer vs.p.mu.Unlock()
+	vs.round = nil // overtaken
+	if o, err := vs.keeper.Fits(v, vs.situation(v)); o != version.Applied {
+		return o, err
+	}
+	vs.round = version.NewRound(v, vs.p.now(), vs.p.set.Control.Patience)
+	go vs.p.end.Tell()
+	return version.Waits, nil
+}
+
+// look ends the round when it can be ended.
+func (vs *versions) look() (*version.Version, version.Outcome, error) {
+	vs.p.mu.Lock()
+	defer vs.p.mu.Unlock()
+	r := vs.round
+	if r == nil {
+		return nil, version.TurnedDown, fmt.Errorf("overtaken by a later version")
+	}
+	o, err := r.Verdict(vs.p.now(), vs.p.leader.Names(), vs.p.list.Version)
+	if o == version.Waits {
+		return r.V, o, nil
+	}
+	vs.round = nil
+	if o == version.Applied {
+		before := vs.keeper.Present().No
+		if o, err = vs.enter(r.V); o == version.Applied {
+			if e := vs.store.Add(history.Entry{No: r.V.No, Parent: before, Since: vs.p.now(), Sum: r.V.Sum, Needs: r.V.Needs, Text: string(r.V.Text)}); e != nil {
+				vs.p.log.Error("version of the settings not saved", "version", r.V.No, "error", e)
+			}
+			vs.p.log.Info("settings in force", "version", r.V.No, "before", before)
+		}
+	}
+	go vs.p.end.Tell()
+	return r.V, o, err
+}
+
+// enter puts a version in force here; the edges follow with their next view.
+func (vs *versions) enter(v *version.Version) (version.Outcome, error) {
+	o, err := vs.keeper.Offer(vs.p.now(), v, vs.situation(v))
+	if o == version.Applied {
+		vs.p.b.Adopt(vs.keeper.Present().Terms)
+	}
+	return o, err
+}
+
+// heard enters what an edge says of versions. Under the planner's lock.
+func (vs *versions) heard(d *linkpb.Digest) {
+	if vs.round != nil {
+		vs.round.Heard(d.Edge, d.ConfigNo, d.ConfigFits, d.ConfigRefused, d.ConfigReason)
+	}
+}
+
+// tell adds to a view what an edge lacks. Under the planner's lock.
+func (vs *versions) tell(v *linkpb.View, has said) {
+	now := vs.keeper.Present()
+	v.ConfigNo = now.No
+	text := now
+	if r := vs.round; r != nil && has.no == now.No {
+		v.ConfigNext = r.V.No
+		text = r.V
+	}
+	if text.No > 0 && has.no != text.No && has.fits != text.No {
+		v.ConfigTextNo, v.ConfigText = text.No, text.Text
+	}
+}
+
+// said is what an edge said last of versions.
+type said struct{ no, fits uint64 }
--- a/relay/versions.go
+++ b/relay/versions.go
@@ -16,6 +16,13 @@
 	return o, err
 }
 
+// Fits says whether a version could be taken now, without taking it.
+func (r *Relay) Fits(v *version.Version) (version.Outcome, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.keeper.Fits(v, r.situation())
+}
+
 // Look has a version that waits looked at again.
 func (r *Relay) Look() (*version.Version, version.Outcome, error) {
 	r.mu.Lock()
--- a/settings/link.go
+++ b/settings/link.go
@@ -64,6 +64,7 @@
 	Seed     uint64   `edn:"seed"` // optional
 	Log      Log      `edn:"log"`
 	Sources  Sources  `edn:"sources"`
+	Control  *Control `edn:"control"` // optional: where the list, and versions of the document for its edges, come from
 	Link     Link     `edn:"link"`
 	Rules    Rules    `edn:"rules"`
 	Release  Release  `edn:"release"`
@@ -74,6 +75,11 @@
 // Terms gives the module's part of the file.
 func (p *Plan) Terms() policy.Terms { return p.terms }
 
+// Document gives the planner's part of the settings in the form of a version.
+func (p *Plan) Document() *Document {
+	return &Document{Schema: DocumentSchema, Rules: p.Rules, Release: p.Release, OpTypes: p.OpTypes, terms: p.terms}
+}
+
 // ReadPlan reads and checks a planner's file.
 func ReadPlan(file string) (*Plan, error) {
 	text, err := readFile(file)
--- a/version/keeper.go
+++ b/version/keeper.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"sort"
 
+	"github.com/cespare/xxhash/v2"
+
 	"flintspread/policy"
 	"flintspread/settings"
 )
@@ -21,6 +23,15 @@
 	slot  map[string]int
 }
 
+// Read reads a version's text by the reader that reads a file.
+func Read(no uint64, text []byte) (*Version, error) {
+	doc, err := settings.ParseDocument(fmt.Sprintf("version-%d", no), text)
+	if err != nil {
+		return nil, err
+	}
+	return &Version{No: no, Sum: xxhash.Sum64(text), Text: text, Doc: doc}, nil
+}
+
 // Slot gives the place of a command's op type among the policy's, -1 where no route leads there.
 func (v *Version) Slot(method, path string) int {
 	op := v.Doc.Op(method, path)
@@ -75,8 +86,8 @@
 // Waiting is a version that waits, nil: none.
 func (k *Keeper) Waiting() *Version { return k.waiting }
 
-// Offer says what becomes of a version that came, and why it is turned down.
-func (k *Keeper) Offer(now float64, v *Version, s Situation) (Outcome, error) {
+// Fits says whether a version could be put in force now, without doing it.
+func (k *Keeper) Fits(v *Version, s Situation) (Outcome, error) {
 	switch p := k.now; {
 	case v.No == p.No && v.Sum == p.Sum:
 		return Again, nil
@@ -89,14 +100,24 @@
 		return TurnedDown, err
 	}
 	if v.Needs > s.ListNo {
+		return Waits, nil
+	}
+	return Applied, nil
+}
+
+// Offer says what becomes of a version that came, and why it is turned down.
+func (k *Keeper) Offer(now float64, v *Version, s Situation) (Outcome, error) {
+	o, err := k.Fits(v, s)
+	switch o {
+	case Waits:
 		if k.waiting == nil || k.waiting.No != v.No {
 			k.until = now + k.patient
 		}
 		k.waiting = v
-		return Waits, nil
+	case Applied:
+		k.enter(v)
 	}
-	k.enter(v)
-	return Applied, nil
+	return o, err
 }
 
 // Look is to be called now and then, and when the list changes: a version that waited may apply now, or has waited too long.
--- a/xds/document.go
+++ b/xds/document.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/protobuf/proto"
 
@@ -33,9 +32,10 @@
 	if d.Schema != settings.DocumentSchema {
 		return nil, fmt.Errorf("schema %d; this program reads %d", d.Schema, settings.DocumentSchema)
 	}
-	doc, err := settings.ParseDocument(fmt.Sprintf("version-%d", d.Number), []byte(d.Text))
+	v, err := version.Read(d.Number, []byte(d.Text))
 	if err != nil {
 		return nil, err
 	}
-	return &version.Version{No: d.Number, Sum: xxhash.Sum64String(d.Text), Text: []byte(d.Text), Doc: doc, Needs: d.NeedsList}, nil
+	v.Needs = d.NeedsList
+	return v, nil
 }
