Several control services at once; a response too large; a list of the same number that differs

Need: two services may disagree, and a version may be too large to hold.

Change: all :addresses are followed and a number counts once, with the text or units that came first; whoever differs is told. A version that waits is asked after by itself, so that another's end is not taken for its own.

Measured: go test -race ./edge ./plan green, the ACKs and NACKs of two services as expected.

--- a/day/run.go
+++ b/day/run.go
@@ -406,7 +406,7 @@
 	if s.controls[relay] == "" {
 		return ""
 	}
-	return fmt.Sprintf(" :control {:address %q :silence 2.0 :back-least 0.05 :back-most 0.5 :patience 1.0 :most-bytes 4000000}\n", s.controls[relay])
+	return fmt.Sprintf(" :control {:addresses [%q] :silence 2.0 :back-least 0.05 :back-most 0.5 :patience 1.0 :most-bytes 4000000}\n", s.controls[relay])
 }
 
 const limits = " :clients {:connections 4096 :head-bytes 16384 :body-bytes 1048576 :read-time 5.0 :idle-time 60.0 :drain-time 10.0}\n" +
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -7,14 +7,9 @@
 	"path/filepath"
 	"sync"
 
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
-
 	"flintspread/history"
-	"flintspread/link"
 	"flintspread/link/linkpb"
 	"flintspread/roster"
-	"flintspread/settings"
 	"flintspread/version"
 	"flintspread/xds"
 )
@@ -23,6 +18,7 @@
 type versions struct {
 	e     *Edge
 	store *history.Store
+	mu    sync.Mutex // orders what several services send
 }
 
 // openVersions opens the history and puts the last version that was in force in force again: with the service gone the edge
@@ -35,7 +31,7 @@
 	if aside != "" {
 		e.log.Error("history of the settings set aside; starting on the file's", "file", aside)
 	}
-	vs := &versions{e, store}
+	vs := &versions{e: e, store: store}
 	last, err := store.Last()
 	if err != nil || last == nil {
 		return vs, err
@@ -52,32 +48,27 @@
 	return vs, nil
 }
 
-// follow follows the service until ctx ends.
+// follow follows the services until ctx ends. What they send counts by its number, whichever it comes from.
 func (vs *versions) follow(ctx context.Context) error {
 	c := vs.e.set.Control
-	var creds credentials.TransportCredentials = insecure.NewCredentials()
-	if c.Cert != "" {
-		var err error
-		if creds, err = link.Creds(&settings.Link{Address: c.Address, Cert: c.Cert, Key: c.Key, CA: c.CA, Peer: c.Peer}, vs.e.log); err != nil {
-			return fmt.Errorf(":control: %w", err)
-		}
-	}
-	client := &xds.Client{Address: c.Address, Creds: creds, Log: vs.e.log, Session: xds.NewSession(vs.e.set.Name, vs.e.set.Relay), Relay: vs.e.set.Relay,
-		Least: c.BackLeast, Most: c.BackMost, Silence: c.Silence, MostBytes: c.MostBytes, Beat: min(c.Patience/4, c.Silence),
-		List: vs.list, Settings: vs.take, Look: vs.look}
-	return client.Run(ctx)
+	return xds.FollowAll(ctx, c, vs.e.log, vs.e.set.Name, vs.e.set.Relay, min(c.Patience/4, c.Silence), xds.Taker{List: vs.list, Settings: vs.take, Look: vs.look})
 }
 
-// list takes a list, unless it is older than the one there: it was overtaken, or the service went back.
+// list takes a list, unless it is older than the one there, or as old and different: it was overtaken, the service went back,
+// or two services disagree.
 func (vs *versions) list(line *roster.Line) error {
-	if vs.e.list.Version > line.Version {
-		return fmt.Errorf("list version %d is older than %d, which is in force", line.Version, vs.e.list.Version)
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
+	if err := vs.e.list.Older(line); err != nil {
+		return err
 	}
 	return vs.e.takeList(line)
 }
 
 // take offers a version, and notes it before it is acknowledged: what was acknowledged is in force after a kill.
 func (vs *versions) take(v *version.Version) (version.Outcome, error) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
 	before := vs.e.relay.Version().No
 	o, err := vs.e.relay.Offer(v)
 	if err == nil && o == version.Applied {
@@ -86,13 +77,21 @@
 	return o, err
 }
 
-func (vs *versions) look() (*version.Version, version.Outcome, error) {
+func (vs *versions) look(mine *version.Version) (version.Outcome, error) {
+	vs.mu.Lock()
+	defer vs.mu.Unlock()
 	before := vs.e.relay.Version().No
 	v, o, err := vs.e.relay.Look()
 	if err == nil && v != nil && o == version.Applied {
 		vs.note(v, before)
 	}
-	return v, o, err
+	switch {
+	case v == mine:
+		return o, err
+	case vs.e.relay.Version().No == mine.No:
+		return version.Applied, nil
+	}
+	return version.TurnedDown, fmt.Errorf("overtaken by another version while it waited")
 }
 
 func (vs *versions) note(v *version.Version, before uint64) {
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.address = l.Addr().String()
+	h.address = fmt.Sprintf("%q", l.Addr().String())
 	h.control = standin.StartControl(l, insecure.NewCredentials())
 	t.Cleanup(func() { h.control.Stop() })
 	text, err := os.ReadFile("../deploy/edge.edn")
@@ -100,7 +100,7 @@
 	}))
 	file := fmt.Sprintf(`{:relay "r1" :listen %q :admin %q :state-dir %q :log {:format :text :level :info}
  :sources {:list %q :installer %q :silence 5.0 :back-least 0.01 :back-most 0.05}
- :control {:address %q :silence 1.0 :back-least 0.01 :back-most 0.05 :patience 0.4 :most-bytes 1000000}
+ :control {:addresses [%s] :silence 1.0 :back-least 0.01 :back-most 0.05 :patience 0.4 :most-bytes 1000000}
  %s`, h.listen, freeAddr(h.t), h.dir, installer.URL, installer.URL, h.address, h.text[1:])
 	set, err := settings.ParseEdge("edge.edn", []byte(file))
 	if err != nil {
@@ -280,3 +280,69 @@
 		t.Error(log)
 	}
 }
+
+// A response above the limit breaks the stream before it is held; what is in force stays, and the stream comes back.
+func TestTooLarge(t *testing.T) {
+	h := newHall(t)
+	c := h.control
+	stop := h.run()
+	defer stop()
+	h.soon("the stream", func() bool { return len(c.Log()) == 2 })
+	h.after(func() { c.Set(standin.UnitsResponse("r1", 1, []roster.Unit{h.unit})) })
+	h.after(func() { c.Set(standin.DocumentResponse("r1", 1, 0, h.doc(1))) })
+	var many []roster.Unit
+	for id := range uint32(30000) {
+		many = append(many, roster.Unit{ID: id + 1, Addr: "127.0.0.1:9", State: "ready"})
+	}
+	for i, r := range []*discovery.DiscoveryResponse{standin.DocumentResponse("r1", 2, 0, h.doc(2)+strings.Repeat(" ", 1100000)), standin.UnitsResponse("r1", 2, many)} {
+		c.Send(r)
+		h.soon("the stream again", func() bool { return strings.Count(strings.Join(c.Log(), "\n"), `Document begins at "v1"`) == i+1 })
+	}
+	if got := h.ask("/only-1/"); got != "200 by version 1" {
+		t.Error(got)
+	}
+}
+
+// Two services that disagree: a number counts once, with the text that came first; the other is told.
+func TestTwoServices(t *testing.T) {
+	h := newHall(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := h.control, standin.StartControl(l, insecure.NewCredentials())
+	defer b.Stop()
+	h.address += fmt.Sprintf(" %q", l.Addr().String())
+	stop := h.run()
+	defer stop()
+	h.soon("both streams", func() bool { return len(a.Log()) == 2 && len(b.Log()) == 2 })
+	last := func(c *standin.Control, n int) string {
+		h.soon("an answer", func() bool { return len(c.Log()) >= n })
+		lines := c.Log()
+		return lines[len(lines)-1]
+	}
+	other := h.unit
+	other.Build = 9
+	for i, x := range []struct {
+		c    *standin.Control
+		r    *discovery.DiscoveryResponse
+		want string
+	}{
+		{a, standin.UnitsResponse("r1", 5, []roster.Unit{h.unit}), "ACK"},
+		{b, standin.UnitsResponse("r1", 5, []roster.Unit{h.unit}), "ACK"},
+		{b, standin.UnitsResponse("r1", 5, []roster.Unit{other}), "list version 5 is in force with other units: 1 differ"},
+		{a, standin.DocumentResponse("r1", 1, 0, h.doc(1)), "ACK"},
+		{b, standin.DocumentResponse("r1", 1, 0, h.doc(2)), "version 1 is in force with another text"},
+		{b, standin.DocumentResponse("r1", 2, 0, h.doc(2)), "ACK"},
+		{a, standin.DocumentResponse("r1", 1, 0, h.doc(1)), "version 1 is older than 2"},
+	} {
+		n := len(x.c.Log())
+		x.c.Send(x.r)
+		if got := last(x.c, n+1); !strings.Contains(got, x.want) {
+			t.Errorf("%d: %s, want %s", i, got, x.want)
+		}
+	}
+	if got := h.ask("/only-2/"); got != "200 by version 2" {
+		t.Error(got)
+	}
+}
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -413,18 +413,20 @@
 			ConfigRefused: refused, ConfigReason: reason})
 		return p.view(edge, 0)
 	}
+	var last *version.Version
 	propose := func(no uint64, text string) {
 		v, err := version.Read(no, []byte(text))
 		if err != nil {
 			t.Fatal(err)
 		}
+		last = v
 		if o, err := p.vs.propose(v); o != version.Waits || err != nil {
 			t.Fatal(o, err)
 		}
 	}
 	look := func(want version.Outcome, why string) {
 		t.Helper()
-		_, o, err := p.vs.look()
+		o, err := p.vs.look(last)
 		if o != want || (err == nil) != (why == "") || err != nil && !strings.Contains(err.Error(), why) {
 			t.Errorf("%v %v, want %v %s", o, err, want, why)
 		}
--- a/plan/versions.go
+++ b/plan/versions.go
@@ -4,15 +4,11 @@
 	"context"
 	"fmt"
 	"path/filepath"
-
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
+	"sync"
 
 	"flintspread/history"
-	"flintspread/link"
 	"flintspread/link/linkpb"
 	"flintspread/roster"
-	"flintspread/settings"
 	"flintspread/version"
 	"flintspread/xds"
 )
@@ -24,6 +20,7 @@
 	store  *history.Store
 	keeper *version.Keeper // under the planner's lock, as the next
 	round  *version.Round
+	listMu sync.Mutex // orders the lists of several services
 }
 
 // openVersions opens the history and goes on with the version that was in force last.
@@ -51,28 +48,20 @@
 	return vs, err
 }
 
-// follow follows the control service until ctx ends.
+// follow follows the control services until ctx ends.
 func (vs *versions) follow(ctx context.Context) error {
-	c := vs.p.set.Control
-	var creds credentials.TransportCredentials = insecure.NewCredentials()
-	if c.Cert != "" {
-		var err error
-		if creds, err = link.Creds(&settings.Link{Address: c.Address, Cert: c.Cert, Key: c.Key, CA: c.CA, Peer: c.Peer}, vs.p.log); err != nil {
-			return fmt.Errorf(":control: %w", err)
-		}
-	}
-	client := &xds.Client{Address: c.Address, Creds: creds, Log: vs.p.log, Session: xds.NewSession(vs.p.set.Relay, vs.p.set.Relay), Relay: vs.p.set.Relay,
-		Least: c.BackLeast, Most: c.BackMost, Silence: c.Silence, MostBytes: c.MostBytes, Beat: vs.p.set.Link.Beat,
-		List: vs.list, Settings: vs.propose, Look: vs.look}
-	return client.Run(ctx)
+	return xds.FollowAll(ctx, vs.p.set.Control, vs.p.log, vs.p.set.Relay, vs.p.set.Relay, vs.p.set.Link.Beat,
+		xds.Taker{List: vs.list, Settings: vs.propose, Look: vs.look})
 }
 
 func (vs *versions) list(line *roster.Line) error {
+	vs.listMu.Lock()
+	defer vs.listMu.Unlock()
 	vs.p.mu.Lock()
-	old := vs.p.list.Version
+	err := vs.p.list.Older(line)
 	vs.p.mu.Unlock()
-	if line.Version < old {
-		return fmt.Errorf("list version %d is older than %d, which is in force", line.Version, old)
+	if err != nil {
+		return err
 	}
 	return vs.p.takeList(line)
 }
@@ -100,16 +89,19 @@
 }
 
 // look ends the round when it can be ended.
-func (vs *versions) look() (*version.Version, version.Outcome, error) {
+func (vs *versions) look(mine *version.Version) (version.Outcome, error) {
 	vs.p.mu.Lock()
 	defer vs.p.mu.Unlock()
 	r := vs.round
-	if r == nil {
-		return nil, version.TurnedDown, fmt.Errorf("overtaken by a later version")
+	if r == nil || r.V != mine {
+		if vs.keeper.Present().No == mine.No {
+			return version.Applied, nil
+		}
+		return version.TurnedDown, fmt.Errorf("overtaken by another version while it waited")
 	}
 	o, err := r.Verdict(vs.p.now(), vs.p.leader.Names(), vs.p.list.Version)
 	if o == version.Waits {
-		return r.V, o, nil
+		return o, nil
 	}
 	vs.round = nil
 	if o == version.Applied {
@@ -122,7 +114,7 @@
 		}
 	}
 	go vs.p.end.Tell()
-	return r.V, o, err
+	return o, err
 }
 
 // enter puts a version in force here; the edges follow with their next view.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -163,6 +163,21 @@
 	return changes, nil
 }
 
+// Older says why a full line is not to be taken after this list: it is older, or as old and tells of other units.
+func (l *List) Older(line *Line) error {
+	if line.Version < l.Version {
+		return fmt.Errorf("list version %d is older than %d, which is in force", line.Version, l.Version)
+	}
+	if line.Version > l.Version || l.units == nil {
+		return nil
+	}
+	changes, err := l.Clone().Take(line, 0)
+	if err == nil && len(changes.Units) > 0 {
+		err = fmt.Errorf("list version %d is in force with other units: %d differ", line.Version, len(changes.Units))
+	}
+	return err
+}
+
 // Clone gives a list that does not change with this one.
 func (l *List) Clone() *List { return &List{l.Version, l.At, l.units} }
 
--- a/settings/link.go
+++ b/settings/link.go
@@ -29,16 +29,16 @@
 
 // Control is where a control service is, and how it is met.
 type Control struct {
-	Address   string  `edn:"address" validate:"required,hostname_port"`
-	Silence   float64 `edn:"silence" validate:"gt=0"` // s of an unanswered question whether it lives
-	BackLeast float64 `edn:"back-least" validate:"gt=0"`
-	BackMost  float64 `edn:"back-most" validate:"gtefield=BackLeast"`
-	Patience  float64 `edn:"patience" validate:"gt=0"` // s that a version waits for the list that it belongs with
-	MostBytes int     `edn:"most-bytes" validate:"gte=1024"`
-	Cert      string  `edn:"cert" validate:"omitempty,filepath"` // as in a link; without all four the stream is plain,
-	Key       string  `edn:"key" validate:"omitempty,filepath"`  // which is for a service on the same host
-	CA        string  `edn:"ca" validate:"omitempty,filepath"`
-	Peer      string  `edn:"peer" validate:"omitempty,printascii"`
+	Addresses []string `edn:"addresses" validate:"required,min=1,max=8,dive,hostname_port"` // all are followed
+	Silence   float64  `edn:"silence" validate:"gt=0"`                                      // s of an unanswered question whether it lives
+	BackLeast float64  `edn:"back-least" validate:"gt=0"`
+	BackMost  float64  `edn:"back-most" validate:"gtefield=BackLeast"`
+	Patience  float64  `edn:"patience" validate:"gt=0"` // s that a version waits for the list that it belongs with
+	MostBytes int      `edn:"most-bytes" validate:"gte=1024"`
+	Cert      string   `edn:"cert" validate:"omitempty,filepath"` // as in a link; without all four the stream is plain,
+	Key       string   `edn:"key" validate:"omitempty,filepath"`  // which is for a service on the same host
+	CA        string   `edn:"ca" validate:"omitempty,filepath"`
+	Peer      string   `edn:"peer" validate:"omitempty,printascii"`
 }
 
 func (l *Link) check() (key, what string) {
--- a/xds/client.go
+++ b/xds/client.go
@@ -32,7 +32,7 @@
 	List     func(*roster.Line) error
 	Settings func(*version.Version) (version.Outcome, error)
 	// Look is asked for a version that waited, each time that a list was taken and every Beat seconds.
-	Look func() (*version.Version, version.Outcome, error)
+	Look func(*version.Version) (version.Outcome, error)
 	Beat float64
 }
 
@@ -99,7 +99,7 @@
 	}()
 	look := time.NewTicker(secs(c.Beat))
 	defer look.Stop()
-	var waits *discovery.DiscoveryResponse // the document that waits for its list
+	var waits *waiting // the document that waits
 	for {
 		select {
 		case <-ctx.Done():
@@ -117,8 +117,8 @@
 		if waits == nil {
 			continue
 		}
-		if _, o, err := c.Look(); o != version.Waits {
-			r := waits
+		if o, err := c.Look(waits.v); o != version.Waits {
+			r := waits.r
 			waits = nil
 			if err := c.answer(s, r, err); err != nil {
 				return came, err
@@ -127,6 +127,12 @@
 	}
 }
 
+// waiting is a version that can't be answered yet.
+type waiting struct {
+	r *discovery.DiscoveryResponse
+	v *version.Version
+}
+
 // why finds the stream's own error behind a failed sending.
 func (c *Client) why(s discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, err error) error {
 	if _, e := s.Recv(); e != nil {
@@ -137,7 +143,7 @@
 
 // take enters one response.
 func (c *Client) take(s discovery.AggregatedDiscoveryService_StreamAggregatedResourcesClient, r *discovery.DiscoveryResponse,
-	waits **discovery.DiscoveryResponse) error {
+	waits **waiting) error {
 	news, again, err := c.Session.Came(r)
 	if err != nil {
 		return err
@@ -155,9 +161,7 @@
 		}
 		return c.answer(s, r, err)
 	}
-	if *waits != nil { // overtaken by this one
-		*waits = nil
-	}
+	*waits = nil // what waited is overtaken by this one
 	v, err := Document(r, c.Relay)
 	if err != nil {
 		return c.answer(s, r, err)
@@ -165,7 +169,7 @@
 	o, err := c.Settings(v)
 	if o == version.Waits && err == nil {
 		c.Log.Info("settings wait for the list that they belong with", "version", v.No, "list", v.Needs)
-		*waits = r
+		*waits = &waiting{r, v}
 		return nil
 	}
 	return c.answer(s, r, err)
--- /dev/null
+++ b/xds/follow.go
@@ -0,0 +1,41 @@
+package xds
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"flintspread/link"
+	"flintspread/roster"
+	"flintspread/settings"
+	"flintspread/version"
+)
+
+// Taker is what takes lists and versions. Its calls come from several goroutines where several services are followed.
+type Taker struct {
+	List     func(*roster.Line) error
+	Settings func(*version.Version) (version.Outcome, error)
+	Look     func(*version.Version) (version.Outcome, error)
+}
+
+// FollowAll follows all services of a control's settings until ctx ends.
+func FollowAll(ctx context.Context, c *settings.Control, log *slog.Logger, node, relay string, beat float64, t Taker) error {
+	var creds credentials.TransportCredentials = insecure.NewCredentials()
+	if c.Cert != "" {
+		var err error
+		if creds, err = link.Creds(&settings.Link{Cert: c.Cert, Key: c.Key, CA: c.CA, Peer: c.Peer}, log); err != nil {
+			return fmt.Errorf(":control: %w", err)
+		}
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	for _, address := range c.Addresses {
+		client := &Client{Address: address, Creds: creds, Log: log, Session: NewSession(node, relay), Relay: relay, Least: c.BackLeast,
+			Most: c.BackMost, Silence: c.Silence, MostBytes: c.MostBytes, Beat: beat, List: t.List, Settings: t.Settings, Look: t.Look}
+		g.Go(func() error { return client.Run(ctx) })
+	}
+	return g.Wait()
+}
