Versions measured; a mistyped key is found by the parts, not by decoding all again

Cause: fuzzing the reader stood at 0 inputs a second: to name a mistyped key it decoded the whole text once for each key.

Change: only the parts on the way to the culprit are decoded. The control service of the tests is named control.example.org in its certificate.

--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -18,11 +18,13 @@
 	"time"
 
 	discovery "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/credentials"
 
+	"flintspread/link"
 	"flintspread/roster"
 	"flintspread/settings"
 	"flintspread/standin"
+	"flintspread/standin/office"
 )
 
 // hall is an edge under a control service, with one unit, an installer that says nothing new, and a client that asks without
@@ -34,6 +36,8 @@
 	listen  string
 	unit    roster.Unit
 	address string
+	tls     string
+	creds   credentials.TransportCredentials
 	text    string // of the file's document
 
 	mu   sync.Mutex
@@ -67,7 +71,18 @@
 		t.Fatal(err)
 	}
 	h.address = fmt.Sprintf("%q", l.Addr().String())
-	h.control = standin.StartControl(l, insecure.NewCredentials())
+	// The service is named in its certificate, whatever its address.
+	o := office.New(t, "hall")
+	ends := time.Now().Add(time.Hour)
+	cert, key := o.Issue("control", "control.example.org", ends)
+	creds, err := link.Creds(&settings.Link{Cert: cert, Key: key, CA: o.CA(), Peer: "edge.example.org"}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, key = o.Issue("edge", "edge.example.org", ends)
+	h.tls = fmt.Sprintf(":cert %q :key %q :ca %q :peer \"control.example.org\"", cert, key, o.CA())
+	h.creds = creds
+	h.control = standin.StartControl(l, creds)
 	t.Cleanup(func() { h.control.Stop() })
 	text, err := os.ReadFile("../deploy/edge.edn")
 	if err != nil {
@@ -100,8 +115,8 @@
 	}))
 	file := fmt.Sprintf(`{:relay "r1" :listen %q :admin %q :state-dir %q :log {:format :text :level :info}
  :sources {:list %q :installer %q :silence 5.0 :back-least 0.01 :back-most 0.05}
- :control {:addresses [%s] :silence 1.0 :back-least 0.01 :back-most 0.05 :patience 0.4 :most-bytes 1000000}
- %s`, h.listen, freeAddr(h.t), h.dir, installer.URL, installer.URL, h.address, h.text[1:])
+ :control {:addresses [%s] :silence 1.0 :back-least 0.01 :back-most 0.05 :patience 0.4 :most-bytes 1000000 %s}
+ %s`, h.listen, freeAddr(h.t), h.dir, installer.URL, installer.URL, h.address, h.tls, h.text[1:])
 	set, err := settings.ParseEdge("edge.edn", []byte(file))
 	if err != nil {
 		h.t.Fatal(err)
@@ -310,7 +325,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a, b := h.control, standin.StartControl(l, insecure.NewCredentials())
+	a, b := h.control, standin.StartControl(l, h.creds)
 	defer b.Stop()
 	h.address += fmt.Sprintf(" %q", l.Addr().String())
 	stop := h.run()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -3,15 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
 	"io"
 	"log/slog"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
@@ -26,49 +19,13 @@
 	"flintspread/accord"
 	"flintspread/link/linkpb"
 	"flintspread/settings"
+	"flintspread/standin/office"
 )
 
-// office makes certificates.
-type office struct {
-	t    *testing.T
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newOffice(t *testing.T, name string) *office {
-	o := &office{t: t, dir: t.TempDir()}
-	o.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	o.cert = &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, IsCA: true, BasicConstraintsValid: true,
-		KeyUsage: x509.KeyUsageCertSign, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
-	o.write("ca.pem", "CERTIFICATE", o.sign(o.cert, &o.key.PublicKey))
-	return o
-}
-
-func (o *office) sign(c *x509.Certificate, pub *ecdsa.PublicKey) []byte {
-	der, err := x509.CreateCertificate(rand.Reader, c, o.cert, pub, o.key)
-	if err != nil {
-		o.t.Fatal(err)
-	}
-	return der
-}
-
-func (o *office) write(file, kind string, der []byte) string {
-	path := filepath.Join(o.dir, file)
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		o.t.Fatal(err)
-	}
-	return path
-}
-
 // issue writes a certificate of a name that ends then, and gives a link that uses it and expects peer.
-func (o *office) issue(file, name string, ends time.Time, address, peer string) *settings.Link {
-	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	der := o.sign(&x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
-		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: ends}, &key.PublicKey)
-	raw, _ := x509.MarshalECPrivateKey(key)
-	return &settings.Link{Address: address, Beat: 0.02, Silence: 0.5, Lease: 1, Peer: peer, CA: filepath.Join(o.dir, "ca.pem"),
-		Cert: o.write(file+".pem", "CERTIFICATE", der), Key: o.write(file+".key", "EC PRIVATE KEY", raw)}
+func issue(o *office.Office, file, name string, ends time.Time, address, peer string) *settings.Link {
+	cert, key := o.Issue(file, name, ends)
+	return &settings.Link{Address: address, Beat: 0.02, Silence: 0.5, Lease: 1, Peer: peer, CA: o.CA(), Cert: cert, Key: key}
 }
 
 // lines is a log that can be searched.
@@ -297,10 +254,10 @@
 
 // Over TCP each end shows a certificate; what is wrong with one is told by name, and a new one is taken without a restart.
 func TestCertificates(t *testing.T) {
-	good, other := newOffice(t, "hall"), newOffice(t, "elsewhere")
+	good, other := office.New(t, "hall"), office.New(t, "elsewhere")
 	hour := time.Now().Add(time.Hour)
 	log := &lines{}
-	server := good.issue("plan", "plan.example.org", hour, "127.0.0.1:0", "edge.example.org")
+	server := issue(good, "plan", "plan.example.org", hour, "127.0.0.1:0", "edge.example.org")
 	addr, end := planner(t, server, 10, log)
 	defer end()
 	for _, c := range []struct {
@@ -309,18 +266,18 @@
 	}{
 		{"stranger", `certificate of \"edge.example.org\" (edge.example.org): x509: certificate signed by unknown authority`,
 			func() *settings.Link {
-				l := other.issue("edge", "edge.example.org", hour, addr, "plan.example.org")
+				l := issue(other, "edge", "edge.example.org", hour, addr, "plan.example.org")
 				l.CA = server.CA
 				return l
 			}()},
-		{"expired", "it ended on ", good.issue("old", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")},
-		{"other name", `not \"edge.example.org\" (:peer)`, good.issue("third", "third.example.org", hour, addr, "plan.example.org")},
+		{"expired", "it ended on ", issue(good, "old", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")},
+		{"other name", `not \"edge.example.org\" (:peer)`, issue(good, "third", "third.example.org", hour, addr, "plan.example.org")},
 		{"planner of other name", `certificate of \"plan.example.org\" (plan.example.org): not \"control.example.org\" (:peer)`,
-			good.issue("edge2", "edge.example.org", hour, addr, "control.example.org")},
+			issue(good, "edge2", "edge.example.org", hour, addr, "control.example.org")},
 		{"planner unknown", `certificate of \"plan.example.org\" (plan.example.org): x509: certificate signed by unknown authority`,
 			func() *settings.Link {
-				l := good.issue("edge3", "edge.example.org", hour, addr, "plan.example.org")
-				l.CA = filepath.Join(other.dir, "ca.pem")
+				l := issue(good, "edge3", "edge.example.org", hour, addr, "plan.example.org")
+				l.CA = other.CA()
 				return l
 			}()},
 	} {
@@ -335,14 +292,14 @@
 		})
 	}
 	t.Run("replaced", func(t *testing.T) {
-		set := good.issue("renew", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")
+		set := issue(good, "renew", "edge.example.org", time.Now().Add(-time.Minute), addr, "plan.example.org")
 		_, views, _, stop := edge(t, set, &lines{})
 		defer stop()
 		time.Sleep(100 * time.Millisecond)
 		if views.Load() != 0 {
 			t.Fatal("an expired certificate was good enough")
 		}
-		good.issue("renew", "edge.example.org", hour, addr, "")
+		issue(good, "renew", "edge.example.org", hour, addr, "")
 		soon(t, "views with the new one", func() bool { return views.Load() > 3 })
 		if err := os.WriteFile(set.Cert, []byte("half a f"), 0o600); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/relay/versions_bench_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"testing"
+
+	"flintspread/roster"
+	"flintspread/version"
+)
+
+func versionText(b *testing.B) string {
+	text, err := os.ReadFile("../deploy/edge.edn")
+	if err != nil {
+		b.Fatal(err)
+	}
+	return "{" + regexp.MustCompile(`(?s):schema.*\}`).FindString(string(text))
+}
+
+// BenchmarkSwap is a version that is read, checked and put in force.
+func BenchmarkSwap(b *testing.B) {
+	h := newHall(b, nil)
+	text := versionText(b)
+	b.ReportAllocs()
+	for no := uint64(1); b.Loop(); no++ {
+		v, err := version.Read(no, []byte(text))
+		if err != nil {
+			b.Fatal(err)
+		}
+		if o, err := h.r.Offer(v); o != version.Applied {
+			b.Fatal(o, err)
+		}
+	}
+}
+
+// BenchmarkReader is what a client's goroutine does to find its command's version and op type, while versions are swapped and
+// while they are not.
+func BenchmarkReader(b *testing.B) {
+	for _, swaps := range []bool{false, true} {
+		b.Run(fmt.Sprint("swaps-", swaps), func(b *testing.B) {
+			h := newHall(b, nil)
+			stop := make(chan struct{})
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				text := versionText(b)
+				for no := uint64(1); swaps; no++ {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					v, err := version.Read(no, []byte(text))
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					h.r.Offer(v)
+				}
+			}()
+			b.ReportAllocs()
+			for b.Loop() {
+				if h.r.Version().Slot("GET", "/chute/4711") < 0 {
+					b.Fatal("no op type")
+				}
+			}
+			close(stop)
+			<-done
+		})
+	}
+}
+
+// BenchmarkApplyList is a full list of which one unit in a hundred changed, from its arrival to the policy.
+func BenchmarkApplyList(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint("units-", n), func(b *testing.B) {
+			h := newHall(b, nil)
+			lines := [2]*roster.Line{}
+			for k := range lines {
+				l := &roster.Line{Version: 1, Full: true, Units: make([]roster.Unit, n)}
+				for i := range l.Units {
+					l.Units[i] = roster.Unit{ID: uint32(i + 1), Addr: "127.0.0.1:9000", State: "ready", Build: 1}
+					if i%100 == 0 {
+						l.Units[i].Build += k
+					}
+				}
+				lines[k] = l
+			}
+			list := &roster.List{}
+			apply := func(l *roster.Line) {
+				changes, err := list.Take(l, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				h.r.List(changes)
+			}
+			apply(lines[0])
+			b.ReportAllocs()
+			for i := 1; b.Loop(); i++ {
+				apply(lines[i%2])
+			}
+		})
+	}
+}
--- a/settings/place.go
+++ b/settings/place.go
@@ -122,9 +122,11 @@
 		}
 		at := strings.TrimSpace(fmt.Sprintf("%s %d", path, i))
 		p.of[at] = p.line
+		from := p.at
 		if err := p.value(at, depth+1); err != nil {
 			return err
 		}
+		p.values[at] = span{from, p.at}
 	}
 }
 
--- a/settings/read.go
+++ b/settings/read.go
@@ -216,23 +216,60 @@
 	return "", 0
 }
 
-// mistyped finds which value the decoder would not take, by decoding the text again with one key after the other
-// replaced by nil: the first whose absence lets the decoder go further is the culprit.
+// mistyped finds which value the decoder would not take, by decoding the parts of what it would not take by themselves.
 func mistyped(file string, text []byte, where *places, into any, err error) error {
-	what := strings.TrimPrefix(err.Error(), "edn: ")
-	best := ""
-	for _, key := range where.keys[:min(len(where.keys), 2000)] { // each is a decoding of its own
-		value := where.values[key]
-		if value.to <= value.from {
-			continue
+	path, t, what := "", reflect.TypeOf(into).Elem(), err
+	for deeper := true; deeper; {
+		deeper = false
+		for _, at := range where.below(path, t) {
+			field := typeAt(t, at[len(path):])
+			v := where.values[at]
+			if field == nil || v.to <= v.from {
+				continue
+			}
+			if e := edn.Unmarshal(text[v.from:v.to], reflect.New(field).Interface()); e != nil {
+				path, t, what, deeper = at, field, e, true
+				break
+			}
 		}
-		trial := append(append(append([]byte(nil), text[:value.from]...), " nil "...), text[value.to:]...)
-		if next := edn.Unmarshal(trial, reflect.New(reflect.TypeOf(into).Elem()).Interface()); next == nil || next.Error() != err.Error() {
-			best = key // the last of nested ones is the nearest
+	}
+	return &Fault{file, where.line1(path), path, strings.TrimPrefix(what.Error(), "edn: ")}
+}
+
+// below gives the paths of a value's own keys or elements.
+func (p *places) below(path string, t reflect.Type) (list []string) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if t.Kind() == reflect.Slice || t.Kind() == reflect.Array {
+		for i := 0; ; i++ {
+			at := strings.TrimSpace(fmt.Sprint(path, " ", i))
+			if _, ok := p.of[at]; !ok {
+				return list
+			}
+			list = append(list, at)
+		}
+	}
+	for _, key := range p.keys {
+		if rest, ok := strings.CutPrefix(key, path); ok && len(strings.Fields(rest)) == 1 && (path == "" || rest[0] == ' ') {
+			list = append(list, key)
 		}
 	}
-	if best == "" {
-		return &Fault{file, 1, "", what}
+	return list
+}
+
+// typeAt is the type of one key or element of a type, nil where there is none.
+func typeAt(t reflect.Type, key string) reflect.Type {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch t.Kind() {
+	case reflect.Slice, reflect.Array, reflect.Map:
+		return t.Elem()
+	case reflect.Struct:
+		if f, ok := fieldOf(t, strings.TrimSpace(key)); ok {
+			return f.Type
+		}
 	}
-	return &Fault{file, where.of[best], best, what}
+	return nil
 }
