--- a/settings/place.go
+++ b/settings/place.go
@@ -181,4 +181,5 @@
 	}
 	for p.at++; p.at < len(p.text) && !strings.ContainsRune(" \t\r\n,;\"{}[]()", rune(p.text[p.at])); p.at++ {
 	}
+	p.at = min(p.at, len(p.text)) // a text may end in the middle of a character
 }
