--- a/day/run.go
+++ b/day/run.go
@@ -390,7 +390,7 @@
 	if s.Edges > 0 {
 		fmt.Fprintf(&b, " :share-port true :planner {:address %q %s}\n", link, linkTimes)
 	} else {
-		b.WriteString(sources(relay, control))
+		b.WriteString(s.sources(relay, control))
 	}
 	if s.Edges == 0 {
 		b.WriteString(s.control(relay))
@@ -433,16 +433,19 @@
 func (s *Script) planFile(relay, admin, state, link, control string) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "{:relay %q :admin %q :state-dir %q :log {:format :text :level :info}\n%s :link {:address %q %s}\n",
-		relay, admin, state, sources(relay, control), link, linkTimes)
+		relay, admin, state, s.sources(relay, control), link, linkTimes)
 	b.WriteString(s.control(relay))
 	b.Write(s.shared())
 	b.WriteString("}\n")
 	return b.Bytes()
 }
 
-func sources(relay, control string) string {
-	return fmt.Sprintf(" :sources {:list \"http://%s/%s/list\" :installer \"http://%s/%s\" :silence 5.0 :back-least 0.05 :back-most 1.0}\n",
-		control, relay, control, relay)
+func (s *Script) sources(relay, control string) string {
+	list := ""
+	if s.controls[relay] == "" {
+		list = fmt.Sprintf(":list \"http://%s/%s/list\"", control, relay)
+	}
+	return fmt.Sprintf(" :sources {%s :installer \"http://%s/%s\" :silence 5.0 :back-least 0.05 :back-most 1.0}\n", list, control, relay)
 }
 
 // shared writes what an edge and its planner are both told.
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -114,9 +114,9 @@
 		}
 	}))
 	file := fmt.Sprintf(`{:relay "r1" :listen %q :admin %q :state-dir %q :log {:format :text :level :info}
- :sources {:list %q :installer %q :silence 5.0 :back-least 0.01 :back-most 0.05}
+ :sources {:installer %q :silence 5.0 :back-least 0.01 :back-most 0.05}
  :control {:addresses [%s] :silence 1.0 :back-least 0.01 :back-most 0.05 :patience 0.4 :most-bytes 1000000 %s}
- %s`, h.listen, freeAddr(h.t), h.dir, installer.URL, installer.URL, h.address, h.tls, h.text[1:])
+ %s`, h.listen, freeAddr(h.t), h.dir, installer.URL, h.address, h.tls, h.text[1:])
 	set, err := settings.ParseEdge("edge.edn", []byte(file))
 	if err != nil {
 		h.t.Fatal(err)
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -55,7 +55,7 @@
 
 // Sources are where the unit list and the news of releases come from.
 type Sources struct {
-	List      string  `edn:"list" validate:"required,http_url"`
+	List      string  `edn:"list" validate:"omitempty,http_url"` // not with :control
 	Installer string  `edn:"installer" validate:"required,http_url"`
 	Silence   float64 `edn:"silence" validate:"gt=0"` // s without a line, after which a stream is taken for broken
 	BackLeast float64 `edn:"back-least" validate:"gt=0"`
@@ -169,16 +169,27 @@
 		if e.Sources != nil {
 			return at.fault(":sources", "with a :planner the list and the news of releases come from there")
 		}
-	case e.Control != nil && e.Sources != nil:
-		if c := e.Control; (c.Cert != "" || c.Key != "" || c.CA != "" || c.Peer != "") && (c.Cert == "" || c.Key == "" || c.CA == "" || c.Peer == "") {
-			return at.fault(":control", "of :cert, :key, :ca and :peer all are needed, or none")
-		}
-	case e.Sources == nil:
+	case e.Sources != nil:
+		return checkSources(at, e.Sources, e.Control)
+	default:
 		return at.fault(":sources", "missing; without a :planner the edge asks for itself")
 	}
 	return nil
 }
 
+// checkSources tells whether there is one place for the list, and it can be met.
+func checkSources(at place, s *Sources, c *Control) error {
+	switch {
+	case c == nil && s.List == "":
+		return at.fault(":sources :list", "missing; without a :control it comes from nowhere else")
+	case c != nil && s.List != "":
+		return at.fault(":sources :list", "with a :control the list comes from there")
+	case c != nil && (c.Cert != "" || c.Key != "" || c.CA != "" || c.Peer != "") && (c.Cert == "" || c.Key == "" || c.CA == "" || c.Peer == ""):
+		return at.fault(":control", "of :cert, :key, :ca and :peer all are needed, or none")
+	}
+	return nil
+}
+
 // check finds what makes a rule unkeepable, or a command unanswerable.
 func (d *Document) check(at place) (err error) {
 	if d.terms, err = terms(at, d.Rules, d.Release, d.OpTypes); err != nil {
--- a/settings/link.go
+++ b/settings/link.go
@@ -100,6 +100,9 @@
 	if key, what := p.Link.check(); key != "" {
 		return nil, at.fault(":link "+key, what)
 	}
+	if err := checkSources(at, &p.Sources, p.Control); err != nil {
+		return nil, err
+	}
 	p.terms, err = terms(at, p.Rules, p.Release, p.OpTypes)
 	return p, err
 }
