A drain serves what had come by then; idle connections are closed after a look

Change: before such a connection is closed the socket is looked at, and a request that has begun to come is let come. The checker takes a try that was written in the very moment of the close, and met no unit, for never accepted.

--- a/audit/check.go
+++ b/audit/check.go
@@ -165,6 +165,10 @@
 		if l.Relay != cmd.Relay || l.Planner {
 			continue
 		}
+		// Written to an idle connection in the moment that a draining relay closed it, and met no unit: never accepted.
+		if l.Stopping > 0 && cmd.Broken >= l.Stopping && cmd.Broken-cmd.Asked < c.Slack && len(c.of[cmd.ID]) == 0 {
+			return true
+		}
 		if l.Killed && cmd.Broken > 0 && math.Abs(cmd.Broken-l.To) < 0.5 {
 			return true
 		}
--- a/audit/record.go
+++ b/audit/record.go
@@ -81,6 +81,7 @@
 	Planner  bool // it judges for the relay's edges, which have processes of their own
 	From, To float64
 	Killed   bool
+	Stopping float64      // when it was told to drain and stop, 0: not
 	Stalls   [][2]float64 // when it was stopped from outside and let go on
 }
 
--- a/relay/client.go
+++ b/relay/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net"
+	"syscall"
 	"time"
 
 	"flintspread/policy"
@@ -20,6 +21,8 @@
 	last bool     // no further command; set before the answer that says so
 	done chan struct{}
 	dead bool // an answer could not be written
+
+	reading bool // a request has begun to come; under the relay's lock
 }
 
 func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
@@ -75,10 +78,13 @@
 		lim := &r.now.Load().Doc.Clients
 		g.left = math.MaxInt64
 		cl.sock.SetReadDeadline(time.Now().Add(span(lim.IdleTime)))
-		if _, err := br.Peek(1); err != nil {
+		if _, err := br.Peek(1); err != nil && !cl.more() {
 			return
 		}
+		r.mu.Lock()
+		cl.reading = true // a drain lets it come
 		cl.sock.SetReadDeadline(time.Now().Add(span(lim.ReadTime)))
+		r.mu.Unlock()
 		req, err := readRequest(br, g, lim.HeadBytes, lim.BodyBytes, func() {
 			cl.sock.writeNow([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 		})
@@ -92,6 +98,20 @@
 	}
 }
 
+// more tells whether a request lies unread in the kernel: a drain ends the wait for one by the clock, and what had come by
+// then is served.
+func (cl *client) more() bool {
+	if cl.sock.raw == nil {
+		return false
+	}
+	n := 0
+	cl.sock.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
 // refuse answers a request that can't be read, and lets its sender see the answer: closing with bytes unread would
 // reset the connection under it.
 func (cl *client) refuse(err error) {
@@ -160,6 +180,7 @@
 func (cl *client) direct(ans answer) bool {
 	cl.r.mu.Lock()
 	cl.r.count.Refused++
+	cl.reading = false
 	cl.r.mu.Unlock()
 	cl.reply(ans)
 	<-cl.done
@@ -211,7 +232,7 @@
 		r.mu.Lock()
 		hands := r.hands
 		for cl := range r.clients {
-			if cl.cmd == nil {
+			if cl.cmd == nil && !cl.reading {
 				cl.sock.SetReadDeadline(time.Now())
 			}
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -188,7 +188,7 @@
 	if req.due > 0 {
 		c.Due = min(c.Due, now+req.due)
 	}
-	cl.cmd = c
+	cl.cmd, cl.reading = c, false
 	r.count.Taken++
 	r.hands++
 	r.byOp[op]++
