Checker: what it lets pass at a drain's close is shown, and what it does not

Need: the exemption for tries written as a draining relay closed had no case that shows its bounds.

Change: three cases beside the others: never accepted, met by a unit, accepted and dropped; the latter two are breaches.

--- a/audit/check_test.go
+++ b/audit/check_test.go
@@ -46,6 +46,18 @@
 		r.Lives[0].To, r.Lives[0].Killed = 10.5, true
 	}, nil)
 	show("no answer, client left", func(r *Record) { r.Commands[1].Answers, r.Commands[1].Left = nil, 10.2 }, nil)
+	stopped := func(broken float64, met bool) func(*Record) {
+		return func(r *Record) {
+			r.Lives[0].Stopping, r.Lives[0].To = 9.99, 10.6
+			r.Commands[1].Answers, r.Commands[1].Broken = nil, broken
+			if !met {
+				r.Deliveries = r.Deliveries[1:]
+			}
+		}
+	}
+	show("written as a draining relay closed", stopped(10.005, false), nil)
+	show("the same, but a unit met it", stopped(10.005, true), nil)
+	show("accepted by a draining relay, then dropped", stopped(10.3, false), nil)
 	show("two answers", func(r *Record) { r.Commands[1].Answers = []Answer{{10.1, "acked", 1}, {10.2, "failed", 0}} }, nil)
 	show("late answer", func(r *Record) { r.Commands[1].Answers[0].At = 11.1 }, nil)
 	show("late answer, relay stood still", func(r *Record) {
@@ -154,6 +166,9 @@
 	// no answer: rule 1 final answer: command 1 to r1 at 10.000 got no answer until 11.000 (connection closed at 0.000)
 	// no answer, relay killed:
 	// no answer, client left:
+	// written as a draining relay closed:
+	// the same, but a unit met it: rule 1 final answer: command 1 to r1 at 10.000 got no answer until 11.000 (connection closed at 10.005)
+	// accepted by a draining relay, then dropped: rule 1 final answer: command 1 to r1 at 10.000 got no answer until 11.000 (connection closed at 10.300)
 	// two answers: rule 1 final answer: command 1 got 2 answers
 	// late answer: rule 1 final answer: command 1 was answered 0.100 s after its client's time
 	// late answer, relay stood still:
