--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,149 @@
+// Package catalog reads the unit list in the form of the platform's discovery, and knows units by the numbers that the module gets.
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+
+	"flintspread/roster"
+)
+
+// Object is one of discovery's: the whole list, or the entries that changed.
+type Object struct {
+	Seq   uint64  `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
+}
+
+// Entry is one unit as discovery names it.
+type Entry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  float64 `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS float64 `json:"born_ms"`
+	Image  float64 `json:"image_id"`
+}
+
+const (
+	mostHosts = 10_000
+	mostName  = 256
+	mostBuild = 1 << 16
+)
+
+var states = map[string]string{"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
+
+// Parse reads an object and refuses one with an entry that can't be meant: what it would leave out might be what matters.
+func Parse(text []byte) (*Object, error) {
+	o := &Object{}
+	if err := json.Unmarshal(text, o); err != nil {
+		return nil, err
+	}
+	return o, o.Check()
+}
+
+// Check finds an entry that can't be meant.
+func (o *Object) Check() error {
+	if len(o.Hosts) > mostHosts {
+		return fmt.Errorf("%d hosts; %d at most", len(o.Hosts), mostHosts)
+	}
+	seen := make(map[string]bool, len(o.Hosts))
+	for i, e := range o.Hosts {
+		what := ""
+		switch {
+		case e.Host == "" || len(e.Host) > mostName:
+			what = "no name"
+		case seen[e.Host]:
+			what = "named twice"
+		case states[e.Health] == "":
+			what = fmt.Sprintf("unknown health %.32q", e.Health)
+		case !(e.Image >= 0 && e.Image < mostBuild) || e.Image != math.Trunc(e.Image):
+			what = fmt.Sprintf("image_id %v", e.Image)
+		case !(e.Share >= 0) || !(e.BornMS >= 0):
+			what = "share or born_ms below 0"
+		case e.Block != math.Trunc(e.Block) || e.Block < 0 || e.Block > 65534:
+			what = fmt.Sprintf("block %v", e.Block)
+		case e.Health != "DELETED":
+			if _, _, err := net.SplitHostPort(e.Dial); err != nil {
+				what = fmt.Sprintf("dial %.64q is no HOST:PORT", e.Dial)
+			}
+		}
+		if what != "" {
+			return fmt.Errorf("host %.64q (entry %d): %s", e.Host, i, what)
+		}
+		seen[e.Host] = true
+	}
+	return nil
+}
+
+// Names gives hosts and sites the numbers that the module knows them by. A host keeps its number for as long as it is listed
+// and Kept s more; then its name is forgotten, and a number is never another's.
+type Names struct {
+	Kept  float64
+	hosts map[string]*named
+	sites map[string]uint16
+	last  uint32
+}
+
+type named struct {
+	id   uint32
+	left float64 // when it left the list, 0 while it is listed
+}
+
+// Host gives a listed host's number, 0 where it is not known.
+func (n *Names) Host(host string) uint32 {
+	if x := n.hosts[host]; x != nil {
+		return x.id
+	}
+	return 0
+}
+
+// Len is how many hosts are remembered.
+func (n *Names) Len() int { return len(n.hosts) }
+
+// Line words an object for the list.
+func (n *Names) Line(o *Object, now float64) *roster.Line {
+	if n.hosts == nil {
+		n.hosts, n.sites = map[string]*named{}, map[string]uint16{}
+	}
+	if o.Whole {
+		for _, x := range n.hosts {
+			if x.left == 0 {
+				x.left = now
+			}
+		}
+	}
+	line := &roster.Line{Version: o.Seq, Full: o.Whole}
+	for _, e := range o.Hosts {
+		x := n.hosts[e.Host]
+		if x == nil {
+			n.last++
+			x = &named{id: n.last}
+			n.hosts[e.Host] = x
+		}
+		x.left = 0
+		u := roster.Unit{ID: x.id, State: states[e.Health], Build: int(e.Image), Heft: e.Share, Start: e.BornMS / 1000, Cell: uint16(e.Block) + 1}
+		if u.State == "gone" {
+			x.left = now
+		} else {
+			u.Addr = e.Dial
+		}
+		if e.Site != "" {
+			if _, known := n.sites[e.Site]; !known && len(n.sites) < math.MaxUint16 {
+				n.sites[e.Site] = uint16(len(n.sites) + 1)
+			}
+			u.Zone = n.sites[e.Site]
+		}
+		line.Units = append(line.Units, u)
+	}
+	for host, x := range n.hosts {
+		if x.left > 0 && now-x.left > n.Kept {
+			delete(n.hosts, host)
+		}
+	}
+	return line
+}
--- a/cmd/flintedge/main.go
+++ b/cmd/flintedge/main.go
@@ -7,6 +7,7 @@
 	"github.com/spf13/cobra"
 
 	"flintspread/edge"
+	"flintspread/node"
 	"flintspread/program"
 	"flintspread/settings"
 )
@@ -16,6 +17,8 @@
 	root.AddCommand(
 		&cobra.Command{Use: "run FILE", Short: "Serve by a settings file; SIGTERM drains and stops", Args: cobra.ExactArgs(1),
 			RunE: func(_ *cobra.Command, args []string) error { return run(args[0]) }},
+		&cobra.Command{Use: "node", Short: "Serve on the platform that LB_CONFIG tells of; SIGTERM drains and stops", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error { return node.Main() }},
 		&cobra.Command{Use: "check FILE", Short: "Check a settings file and say what is wrong with it", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				set, err := settings.ReadEdge(args[0])
--- /dev/null
+++ b/node/config.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"flintspread/catalog"
+	"flintspread/platform"
+	"flintspread/policy"
+	"flintspread/terms"
+)
+
+// Told is what the platform tells a relay in one file.
+type Told struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Platform  string
+	Seed      uint64
+	Cores     float64
+	Memory    int64 // bytes
+	Sockets   int
+	News      *platform.State // nil: none yet
+	Known     *catalog.Object // nil: no list yet
+	Terms     policy.Terms
+	Ops       []string // the names of the terms' op types
+	Dial      float64  // s that a connection to a unit may take
+}
+
+// Read reads and checks the file whole. An error names file and key.
+func Read(file string) (*Told, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	t, err := Parse(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return t, nil
+}
+
+// Parse reads the file's text.
+func Parse(text []byte) (*Told, error) {
+	var f struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores   float64 `json:"cores"`
+			Memory  float64 `json:"memory_mb"`
+			Sockets int     `json:"sockets"`
+		} `json:"limits"`
+		Platform struct {
+			Address string          `json:"address"`
+			News    json.RawMessage `json:"news"`
+		} `json:"platform"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	t := &Told{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Platform: f.Platform.Address, Cores: f.Limits.Cores,
+		Memory: int64(f.Limits.Memory * (1 << 20)), Sockets: f.Limits.Sockets}
+	for _, a := range []struct{ key, value string }{{"listen", t.Listen}, {"discovery", t.Discovery}, {"platform.address", t.Platform}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return nil, fmt.Errorf("%s: %.64q is no HOST:PORT", a.key, a.value)
+		}
+	}
+	var err error
+	if t.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: %.32q is no number of 16 hex digits", f.Seed)
+	}
+	switch {
+	case t.Name == "":
+		return nil, fmt.Errorf("name: missing")
+	case !(t.Cores > 0):
+		return nil, fmt.Errorf("limits.cores: %v", t.Cores)
+	case t.Memory < 16<<20:
+		return nil, fmt.Errorf("limits.memory_mb: %v, 16 at least", f.Limits.Memory)
+	case t.Sockets < 64:
+		return nil, fmt.Errorf("limits.sockets: %d, 64 at least", t.Sockets)
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("settings: missing")
+	}
+	pairs, err := terms.Tree(f.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if t.Terms, err = terms.Read(pairs); err != nil {
+		return nil, err
+	}
+	if t.Ops, err = terms.Names(pairs); err != nil {
+		return nil, err
+	}
+	if t.Dial, err = terms.Secs(pairs, "policy_limits.dial_timeout"); err != nil {
+		return nil, err
+	}
+	if t.News, err = platform.ParseNews(f.Platform.News, len(t.Terms.Stages)); err != nil {
+		return nil, fmt.Errorf("platform.news: %w", err)
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		if t.Known, err = catalog.Parse(f.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return t, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,231 @@
+// Package node is the relay on the platform's sockets: it puts the relay, the platform's control service and discovery together
+// from one configuration, and follows the platform's signals.
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"flintspread/catalog"
+	"flintspread/platform"
+	"flintspread/policy"
+	"flintspread/relay"
+	"flintspread/release"
+	"flintspread/roster"
+	"flintspread/settings"
+	"flintspread/stream"
+)
+
+// What the platform's page gives, and how a relay's own limits are shared out.
+const (
+	comeOn     = 0.7    // s that new connections may go on coming after SIGTERM, with room
+	stopWithin = 3.6    // s from SIGTERM to the end
+	speakUp    = 2.3    // s in which a client must have sent something, and a command have come whole
+	idleTime   = 20.0   // s that a client's connection may be idle
+	forget     = 60.0   // s after which a unit that left is forgotten
+	keysKept   = 50_000 // for one-way keys
+	silence    = 5.0    // s of discovery's: an empty line is due every 2 s
+	backLeast  = 0.05   // s
+	backMost   = 1.0
+	joinTime   = 1.0 // s that the list's old address is still followed after a new one is told
+
+	forClients = 0.55 // of the descriptors
+	forUnits   = 0.3
+	forHeap    = 0.6 // of the memory
+	forBuffers = 0.2
+)
+
+// Node is one relay.
+type Node struct {
+	told  *Told
+	log   *slog.Logger
+	relay *relay.Relay
+	line  *platform.Line
+	http  *http.Client
+
+	mu      sync.Mutex // orders lists and news
+	names   catalog.Names
+	list    roster.List
+	from    string // discovery's address
+	feed    int    // the follower whose objects count; earlier ones may still add changes
+	running sync.WaitGroup
+
+	feeds     context.Context // of what is followed; it outlasts the listener
+	stopFeeds context.CancelFunc
+}
+
+// New makes a relay of what it was told.
+func New(t *Told, log *slog.Logger) *Node {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(t.Cores))))
+	debug.SetMemoryLimit(int64(forHeap * float64(t.Memory)))
+	terms := t.Terms
+	terms.Forget, terms.Keys = forget, keysKept
+	units := int(forUnits * float64(t.Sockets))
+	set := settings.Given(t.Name, terms, t.Ops,
+		settings.Clients{Connections: int(forClients * float64(t.Sockets)), ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin, Evict: true},
+		settings.Units{Connections: units, Total: units, DialTime: t.Dial, IdleTime: terms.ConnIdle * 0.8},
+		int64(forBuffers*float64(t.Memory)))
+	n := &Node{told: t, log: log, from: t.Discovery, names: catalog.Names{Kept: 2 * forget},
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
+	n.feeds, n.stopFeeds = context.WithCancel(context.Background())
+	n.line = &platform.Line{Stages: len(terms.Stages), Timeout: terms.VoteTimeout, Log: log, News: n.news, Blamed: n.blamed,
+		Replied: func(_ release.Vote, reply policy.VoteReply) { n.relay.VoteAnswered(reply) }}
+	n.line.Open(t.Platform)
+	n.relay = relay.NewPlatform(set, t.Seed, log, n.line.Cast)
+	if t.News != nil {
+		n.news(*t.News)
+	}
+	if t.Known != nil {
+		n.object(t.Known)
+	}
+	return n
+}
+
+// Run serves until ctx ends, then answers what it has taken.
+func (n *Node) Run(ctx context.Context, l net.Listener) error {
+	defer n.stopFeeds()
+	n.running.Go(func() { n.line.Run(n.feeds) })
+	n.follow()
+	failed := make(chan error, 1)
+	n.running.Go(func() { failed <- n.relay.Serve(l) })
+	n.running.Go(func() { n.report(n.feeds) })
+	n.log.Info("serving", "relay", n.told.Name, "listen", l.Addr().String())
+	var err error
+	select {
+	case <-ctx.Done():
+		// Others learn only now that this relay goes: until they have, it takes what comes.
+		n.log.Info("leaving", "relay", n.told.Name)
+		n.relay.Leave()
+		time.Sleep(time.Duration(comeOn * float64(time.Second)))
+	case err = <-failed:
+	}
+	l.Close()
+	until, cancel := context.WithTimeout(context.Background(), time.Duration((stopWithin-comeOn)*float64(time.Second)))
+	defer cancel()
+	if late := n.relay.Drain(until); late != nil {
+		n.log.Error("drain", "error", late)
+	}
+	n.stopFeeds()
+	n.relay.Close()
+	n.running.Wait()
+	n.log.Info("stopped", "relay", n.told.Name)
+	return err
+}
+
+// Move takes the addresses of a configuration that was replaced.
+func (n *Node) Move(t *Told) {
+	n.line.Move(t.Platform)
+	n.mu.Lock()
+	same := n.from == t.Discovery
+	n.from = t.Discovery
+	n.mu.Unlock()
+	if !same {
+		n.follow()
+	}
+}
+
+// follow begins to follow discovery at its present address. A follower before it goes once this one had time to join.
+func (n *Node) follow() {
+	n.mu.Lock()
+	n.feed++
+	me, from := n.feed, n.from
+	n.mu.Unlock()
+	mine, stop := context.WithCancel(n.feeds)
+	source := stream.Source{Silence: silence, Least: backLeast, Most: backMost, Log: n.log, Client: n.http, Alive: n.relay.Unchanged,
+		Next: func() string {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", from, n.list.Version)
+		}}
+	n.running.Go(func() {
+		stream.Follow(mine, source, func(o *catalog.Object) error {
+			if err := o.Check(); err != nil {
+				return err
+			}
+			n.mu.Lock()
+			old := n.feed != me
+			n.mu.Unlock()
+			if old && o.Whole {
+				return nil // the newer follower's whole list counts
+			}
+			return n.object(o)
+		}, func() {})
+	})
+	n.running.Go(func() {
+		defer stop()
+		tick := time.NewTicker(100 * time.Millisecond)
+		defer tick.Stop()
+		for left := joinTime; left > 0; {
+			select {
+			case <-n.feeds.Done():
+				return
+			case <-tick.C:
+			}
+			n.mu.Lock()
+			if n.feed != me {
+				left -= 0.1
+			}
+			n.mu.Unlock()
+		}
+	})
+}
+
+// object enters one of discovery's. Changes that came already by another way are passed over.
+func (n *Node) object(o *catalog.Object) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !o.Whole && o.Seq < n.list.Version {
+		return nil
+	}
+	now := n.relay.Now()
+	line := n.names.Line(o, now)
+	if err := line.Check(); err != nil {
+		return err
+	}
+	changes, err := n.list.Take(line, now)
+	if err != nil {
+		return err
+	}
+	n.relay.List(changes)
+	return nil
+}
+
+func (n *Node) news(s platform.State) {
+	n.relay.Stage(s.Build, s.Stage, s.PhaseOf(), s.Cap, s.AgeMS/1000)
+}
+
+func (n *Node) blamed(unit string, age float64) {
+	n.mu.Lock()
+	id := n.names.Host(unit)
+	n.mu.Unlock()
+	if id > 0 {
+		n.relay.Flagged(id, age)
+	}
+}
+
+// report logs now and then what the relay thinks.
+func (n *Node) report(ctx context.Context) {
+	tick := time.NewTicker(5 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		c := n.relay.Numbers()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		text, _ := json.Marshal(c)
+		n.log.Info("numbers", "relay", n.told.Name, "heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "counts", string(text))
+	}
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -17,14 +17,18 @@
 type client struct {
 	r    *Relay
 	sock socket
-	cmd  *command // in hand, under the relay's lock
-	last bool     // no further command; set before the answer that says so
+	open int  // commands in hand, under the relay's lock
+	last bool // no further command; set before the answer that says so
 	done chan struct{}
 	dead bool // an answer could not be written
 
-	reading bool // a request has begun to come; under the relay's lock
+	reading bool    // a request has begun to come; under the relay's lock, as the next four
+	spoke   bool    // one came before
+	going   bool    // it is to make room
+	since   float64 // idle since
 
-	who uint64 // its host
+	who  uint64 // its host
+	owes owes   // answers in order, where a client may ask ahead
 }
 
 func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
@@ -45,10 +49,11 @@
 			}
 			return err
 		}
-		cl := &client{r: r, sock: newSocket(nc), done: make(chan struct{}, 1), who: whoIs(nc.RemoteAddr().String())}
+		cl := &client{r: r, sock: newSocket(nc), done: make(chan struct{}, 1), who: whoIs(nc.RemoteAddr().String()), since: r.Now()}
 		noRoom := r.mem.full(connBytes)
 		r.mu.Lock()
-		full := noRoom || len(r.clients) >= r.now.Load().Doc.Clients.Connections || r.draining
+		lim := &r.now.Load().Doc.Clients
+		full := noRoom || len(r.clients) >= lim.Connections && !(lim.Evict && r.evict())
 		if full {
 			r.count.ClientsRefused++
 			if noRoom {
@@ -62,24 +67,46 @@
 		}
 		r.mu.Unlock()
 		if full {
-			cl.sock.writeNow(plain(503, "nacked", "too many connections", r.now.Load().Doc.Rules.MaxPause).closing().bytes)
+			cl.sock.writeNow(r.speech.crowded(r.now.Load().Doc.Rules.MaxPause))
 			nc.Close()
 			continue
 		}
-		go cl.serve()
+		go func() {
+			defer r.conns.Done()
+			defer func() {
+				r.mu.Lock()
+				delete(r.clients, cl)
+				r.mu.Unlock()
+				cl.sock.Close()
+				r.mem.add(-connBytes)
+			}()
+			r.speech.serve(cl)
+		}()
+	}
+}
+
+// evict has the connection go that has been idle longest, those first that never sent anything. Its reader closes it: what it
+// has begun to read meanwhile is served. Under the lock.
+func (r *Relay) evict() bool {
+	var first *client
+	for cl := range r.clients {
+		if cl.open > 0 || cl.reading || cl.going {
+			continue
+		}
+		if first == nil || !cl.spoke && first.spoke || cl.spoke == first.spoke && cl.since < first.since {
+			first = cl
+		}
+	}
+	if first == nil {
+		return false
 	}
+	first.going = true
+	first.sock.SetReadDeadline(time.Now())
+	return true
 }
 
 func (cl *client) serve() {
 	r := cl.r
-	defer r.conns.Done()
-	defer func() {
-		r.mu.Lock()
-		delete(r.clients, cl)
-		r.mu.Unlock()
-		cl.sock.Close()
-		r.mem.add(-connBytes)
-	}()
 	g := &gate{from: cl.sock.Conn, mem: &r.mem}
 	defer g.release()
 	br := bufio.NewReaderSize(g, 4096)
@@ -179,7 +206,7 @@
 	}
 	cl.sock.SetReadDeadline(time.Time{})
 	g.left = math.MaxInt64
-	c := r.accept(cl, req, v, op)
+	c := r.accept(cl, req, v, op, nil)
 	// Watches for the client's going while the command is in hand. More bytes are its next request; they wait.
 	_, gone := br.Peek(1)
 	if gone != nil && r.left(c) {
@@ -242,19 +269,25 @@
 	cl.done <- struct{}{}
 }
 
+// Leave begins a stop while the listener goes on: clients are still served, and each connection ends once nothing is open on it.
+func (r *Relay) Leave() {
+	r.leaving.Store(true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+}
+
 // Drain stops taking commands and waits until those in hand have their answers, or ctx ends. The listener is to be
 // closed before. Connections that have nothing in hand are closed at once.
 func (r *Relay) Drain(ctx context.Context) error {
-	r.mu.Lock()
-	r.draining = true
-	r.mu.Unlock()
+	r.Leave()
 	look := time.NewTicker(5 * time.Millisecond)
 	defer look.Stop()
 	for {
 		r.mu.Lock()
 		hands := r.hands
 		for cl := range r.clients {
-			if cl.cmd == nil && !cl.reading {
+			if cl.open == 0 && !cl.reading {
 				cl.sock.SetReadDeadline(time.Now())
 			}
 		}
--- a/relay/message.go
+++ b/relay/message.go
@@ -86,9 +86,12 @@
 	method, path string
 	head         []byte // as units get it, but for the time left and the blank line
 	body         []byte
+	extras       []byte // names and values, without that of d, which belongs at dAt
+	dAt          int
 	due          float64 // s from its coming, 0 if not told
 	work         float64
 	key          uint64
+	id           string // where the protocol names commands
 	mark, repeat bool
 	last         bool    // the client wants the connection closed after the answer
 	receipt      string  // of a report of a wrong answer
--- a/relay/overload.go
+++ b/relay/overload.go
@@ -31,7 +31,7 @@
 // turnedAway is the answer to what is shed: one text for a version, for it is given when there is no time to write others.
 func (r *Relay) turnedAway(v *version.Version) answer {
 	if r.away.bytes == nil || r.awayFor != v {
-		r.awayFor, r.away = v, plain(503, "nacked", "not done; trying again does no harm", v.Terms.MaxPause).under(v)
+		r.awayFor, r.away = v, r.speech.nacked(v, v.Terms.MaxPause)
 	}
 	return r.away
 }
@@ -39,7 +39,15 @@
 // waited is how long what is being read lay in the kernel before this process came to it, s: its client's time began then. It
 // costs a call for each command, so that it is asked only while the process is behind.
 func (cl *client) waited() float64 {
-	if !cl.r.behind.Load() || cl.sock.raw == nil {
+	if !cl.r.behind.Load() {
+		return 0
+	}
+	return cl.lay()
+}
+
+// lay asks the kernel when it last got something from the client.
+func (cl *client) lay() float64 {
+	if cl.sock.raw == nil {
 		return 0
 	}
 	ms := uint32(0)
--- /dev/null
+++ b/relay/owes.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	askAhead  = 64        // answers owed to a client, above which nothing more is read from it
+	slowBytes = 256 << 10 // bytes that it has not taken, above which neither
+)
+
+// owed is an answer's place in its client's order.
+type owed struct {
+	bytes []byte
+	done  bool
+}
+
+// owes holds what one client is owed, the oldest first: answers follow the order of its commands, whoever comes first.
+type owes struct {
+	mu      sync.Mutex
+	line    []*owed
+	out     []byte // due, and not yet taken by the kernel
+	writing bool   // a goroutine of its own writes
+	dead    bool
+	changed chan struct{} // has room for one: an answer left, or the connection died
+}
+
+func (o *owes) next() *owed {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x := &owed{}
+	o.line = append(o.line, x)
+	return x
+}
+
+// state tells what is still owed or on its way, whether more may be read, and whether anybody is there.
+func (o *owes) state() (clear, room, dead bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.line) == 0 && len(o.out) == 0 && !o.writing, len(o.line) < askAhead && len(o.out) < slowBytes, o.dead
+}
+
+// settle gives an answer, and writes what is due by that, without waiting; what the kernel does not take at once goes on by
+// itself for as long as a command may take to come.
+func (cl *client) settle(x *owed, bytes []byte) {
+	o := &cl.owes
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x.bytes, x.done = bytes, true
+	for len(o.line) > 0 && o.line[0].done {
+		o.out = append(o.out, o.line[0].bytes...)
+		o.line[0] = nil
+		o.line = o.line[1:]
+	}
+	if len(o.out) > 0 && !o.writing && !o.dead {
+		n, err := cl.sock.writeNow(o.out)
+		o.out = o.out[:copy(o.out, o.out[n:])]
+		switch {
+		case err != nil:
+			o.dead = true
+			cl.sock.Close()
+		case len(o.out) > 0:
+			o.writing = true
+			cl.r.conns.Add(1)
+			go cl.writeOn()
+		case cap(o.out) > 16<<10:
+			o.out = nil
+		}
+	}
+	cl.changed()
+}
+
+func (cl *client) changed() {
+	select {
+	case cl.owes.changed <- struct{}{}:
+	default:
+	}
+}
+
+// writeOn writes for a client that reads slowly.
+func (cl *client) writeOn() {
+	defer cl.r.conns.Done()
+	o := &cl.owes
+	for {
+		o.mu.Lock()
+		buf := o.out
+		o.out = nil
+		if o.writing = len(buf) > 0 && !o.dead; !o.writing {
+			o.mu.Unlock()
+			cl.changed()
+			return
+		}
+		o.mu.Unlock()
+		cl.r.mem.add(len(buf))
+		cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.now.Load().Doc.Clients.ReadTime)))
+		_, err := cl.sock.Write(buf)
+		cl.sock.SetWriteDeadline(time.Time{})
+		cl.r.mem.add(-len(buf))
+		if err != nil {
+			o.mu.Lock()
+			o.dead = true
+			o.mu.Unlock()
+			cl.sock.Close()
+		}
+	}
+}
--- /dev/null
+++ b/relay/platform.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"flintspread/policy"
+	"flintspread/resp"
+	"flintspread/version"
+)
+
+// plat is the platform's protocol: RESP2, commands behind one another, each named by an id.
+type plat struct{}
+
+const (
+	cmdRead  = "API.READ"  // of redeliverable op types
+	cmdWrite = "API.WRITE" // of the others, with a body
+	mostName = 256         // bytes of an id, of a key, of a list of names and values
+)
+
+func (plat) nacked(_ *version.Version, pause float64) answer {
+	if pause <= 0 {
+		return answer{[]byte("-BUSY\r\n"), "nacked"}
+	}
+	return answer{fmt.Appendf(nil, "-BUSY %d\r\n", int(math.Ceil(pause*1000))), "nacked"}
+}
+
+func (plat) failed(*version.Version, bool) answer {
+	return answer{[]byte("-ERR failed; it may have been done\r\n"), "failed"}
+}
+
+func (plat) crowded(float64) []byte { return []byte("-ERR too many connections\r\n") }
+
+func (plat) reply(c *command, ans answer) { c.client.settle(c.owed, ans.bytes) }
+
+func (plat) word(req *request, left float64) []byte {
+	ms := strconv.AppendInt(nil, int64(max(1, left*1000)), 10)
+	buf := make([]byte, 0, len(req.head)+len(req.extras)+len(req.body)+64)
+	buf = append(buf, req.head...)
+	extras := make([]byte, 0, len(req.extras)+8)
+	extras = append(append(append(extras, req.extras[:req.dAt]...), ms...), req.extras[req.dAt:]...)
+	buf = resp.Bulk(buf, extras)
+	return append(buf, req.body...)
+}
+
+// read takes the value from a unit's answer. What can't be read, or says what no unit says, is spoilt: it may have run.
+func (plat) read(br *bufio.Reader, g *gate, d *delivery) (answer, policy.Result, bool, error) {
+	g.left = math.MaxInt64 // the framing has its own bounds
+	a, err := resp.Answer(br)
+	switch {
+	case err != nil:
+		return answer{}, policy.Broken, false, err
+	case a.Values != nil && a.Values[0] != nil:
+		return answer{resp.Bulk(make([]byte, 0, len(a.Values[0])+16), a.Values[0]), "acked"}, policy.Acked, true, nil
+	case a.Error == "BUSY" || len(a.Error) > 5 && a.Error[:5] == "BUSY ":
+		return answer{}, policy.Full, true, nil
+	case a.Error == "ERR failed" || len(a.Error) > 11 && a.Error[:11] == "ERR failed ":
+		return answer{}, policy.Errored, true, nil
+	}
+	return answer{}, policy.Broken, false, fmt.Errorf("the answer %.60q is none of a unit's", a.Error)
+}
+
+// command reads the words of a client's command.
+func (plat) command(v *version.Version, args [][]byte) (req *request, op int, err error) {
+	write := string(args[0]) == cmdWrite
+	switch {
+	case !write && string(args[0]) != cmdRead:
+		return nil, 0, fmt.Errorf("unknown command %.32q", args[0])
+	case !write && len(args) != 4 || write && len(args) != 5:
+		return nil, 0, fmt.Errorf("%s with %d words", args[0], len(args)-1)
+	}
+	key, id, extras := args[1], args[2], args[3]
+	if !named(key) || !named(id) || len(extras) > mostName {
+		return nil, 0, errors.New("no key or no id, or one that can't be meant")
+	}
+	req, op = &request{id: string(id), key: max(1, xxhash.Sum64(key)), dAt: -1}, -1
+	mark := false
+	for at, rest := 0, extras; len(rest) > 0; {
+		pair, after, _ := bytes.Cut(rest, []byte(","))
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok || !named(value) {
+			return nil, 0, fmt.Errorf("%.32q is no name and value", pair)
+		}
+		switch string(name) {
+		case "c":
+			op = v.Named(value)
+		case "d":
+			ms, err := strconv.ParseUint(string(value), 10, 31)
+			if err != nil || ms == 0 || req.dAt >= 0 {
+				return nil, 0, fmt.Errorf("d: %.32q is no number of milliseconds", value)
+			}
+			req.due, req.dAt = float64(ms)/1000, at+2
+			req.extras = append(append(req.extras, extras[:at+2]...), extras[at+len(pair):]...)
+		case "k":
+			mark = true
+		case "r":
+			req.repeat = string(value) == "1"
+		default:
+			return nil, 0, fmt.Errorf("unknown name %.32q", name)
+		}
+		at, rest = at+len(pair)+1, after
+	}
+	switch {
+	case op < 0:
+		return nil, 0, errors.New("no such class")
+	case req.dAt < 0:
+		return nil, 0, errors.New("no d")
+	case write != (v.Terms.Ops[op].Effect != policy.Redeliverable):
+		return nil, 0, fmt.Errorf("%s is not for this class", args[0])
+	case mark != (v.Terms.Ops[op].Effect == policy.Deduplicated):
+		return nil, 0, errors.New("k belongs to classes with a key, and to no others")
+	}
+	req.head = resp.Array(make([]byte, 0, 32+len(key)+len(id)), len(args))
+	for _, word := range args[:3] {
+		req.head = resp.Bulk(req.head, word)
+	}
+	if write {
+		req.body = resp.Bulk(make([]byte, 0, len(args[4])+16), args[4])
+	}
+	return req, op, nil
+}
+
+// named tells whether a word can stand for something: not empty, not long, nothing that ends a line.
+func named(word []byte) bool {
+	for _, c := range word {
+		if c <= ' ' || c >= 127 {
+			return false
+		}
+	}
+	return len(word) > 0 && len(word) <= mostName
+}
+
+// serve takes commands as they come, each with its own clock, and lets answers follow in their order.
+func (p plat) serve(cl *client) {
+	r, o := cl.r, &cl.owes
+	o.changed = make(chan struct{}, 1)
+	g := &gate{from: cl.sock.Conn, mem: &r.mem, left: math.MaxInt64}
+	defer g.release()
+	br := bufio.NewReaderSize(g, 4096)
+	var hands []*command // that may have no answer yet
+	first := true
+	for {
+		lim := &r.now.Load().Doc.Clients
+		idle := lim.IdleTime
+		if first {
+			idle = lim.ReadTime // one that connects and says nothing
+		}
+		cl.sock.SetReadDeadline(time.Now().Add(span(idle)))
+		if _, err := br.Peek(1); err != nil {
+			var late net.Error
+			if !errors.As(err, &late) || !late.Timeout() {
+				p.left(cl, hands)
+				return
+			}
+			if cl.more() {
+				continue
+			}
+			if clear, _, dead := o.state(); clear || dead {
+				return
+			}
+			p.await(cl)
+			continue
+		}
+		r.mem.wait(r.stop)
+		waited := cl.lay()
+		r.mu.Lock()
+		cl.reading = true // a drain lets it come
+		cl.sock.SetReadDeadline(time.Now().Add(span(lim.ReadTime)))
+		r.mu.Unlock()
+		args, err := resp.Command(br)
+		if err != nil {
+			p.refuse(cl, err)
+			p.left(cl, hands)
+			return
+		}
+		first = false
+		v := r.now.Load()
+		x := o.next()
+		if len(args) == 1 && string(args[0]) == "PING" {
+			p.direct(cl, x, []byte("+PONG\r\n"))
+		} else if req, op, err := p.command(v, args); err != nil {
+			p.direct(cl, x, resp.Error(nil, "ERR "+err.Error()))
+		} else {
+			req.waited = waited
+			if c := r.accept(cl, req, v, op, x); c == nil {
+				p.direct(cl, x, []byte("-ERR a command with this id is in hand\r\n"))
+			} else {
+				hands = append(hands, c)
+			}
+		}
+		g.release()
+		if hands = r.stillIn(hands); len(hands) > 0 {
+			for _, room, dead := o.state(); !room && !dead; _, room, dead = o.state() {
+				p.await(cl)
+			}
+		}
+		if r.leaving.Load() && br.Buffered() == 0 && !cl.more() {
+			p.finish(cl)
+			if !cl.more() {
+				return
+			}
+		}
+	}
+}
+
+// await waits until something of what a client is owed has changed.
+func (plat) await(cl *client) {
+	select {
+	case <-cl.owes.changed:
+	case <-cl.r.stop:
+		cl.owes.mu.Lock()
+		cl.owes.dead = true
+		cl.owes.mu.Unlock()
+	}
+}
+
+// finish lets everything owed go out before the connection ends.
+func (p plat) finish(cl *client) {
+	for {
+		if clear, _, dead := cl.owes.state(); clear || dead {
+			return
+		}
+		p.await(cl)
+	}
+}
+
+// direct answers what was no command.
+func (plat) direct(cl *client, x *owed, text []byte) {
+	cl.r.mu.Lock()
+	cl.r.count.Refused++
+	cl.reading, cl.spoke, cl.since = false, true, cl.r.Now()
+	cl.r.mu.Unlock()
+	cl.settle(x, text)
+}
+
+// refuse answers what can't be read, behind what is owed before it, and lets its sender see the answer.
+func (p plat) refuse(cl *client, err error) {
+	text := "ERR the command did not come whole in time"
+	var late net.Error
+	switch {
+	case resp.Bad(err):
+		text = "ERR " + err.Error()
+	case !errors.As(err, &late) || !late.Timeout():
+		return
+	}
+	p.direct(cl, cl.owes.next(), resp.Error(nil, text))
+	p.finish(cl)
+	if tcp, ok := cl.sock.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	cl.sock.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var sink [4096]byte
+	for range 64 {
+		if _, err := cl.sock.Read(sink[:]); err == io.EOF || err != nil {
+			return
+		}
+	}
+}
+
+// left ends what a client that went away has in hand.
+func (plat) left(cl *client, hands []*command) {
+	for _, c := range hands {
+		cl.r.left(c)
+	}
+}
+
+// stillIn gives the commands that have no final answer yet.
+func (r *Relay) stillIn(list []*command) []*command {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, c := range list {
+		if !c.Ended {
+			list[n] = c
+			n++
+		}
+	}
+	clear(list[n:])
+	return list[:n]
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -25,9 +25,10 @@
 
 // Relay is one instance: a policy and the connections it decides about.
 type Relay struct {
-	set  *settings.Edge
-	log  *slog.Logger
-	cast func(release.Vote) // called without the lock; must not wait. nil: a planner judges, and leads
+	set    *settings.Edge
+	log    *slog.Logger
+	speech speech
+	cast   func(release.Vote) // called without the lock; must not wait. nil: a planner judges, and leads
 
 	// Answered, where set, is told of each final answer: op type, answer, s since the command came. It must not wait.
 	Answered func(op, kind string, secs float64)
@@ -40,6 +41,7 @@
 	conns sync.WaitGroup
 
 	shedding atomic.Bool   // something is shed now
+	leaving  atomic.Bool   // it stops: connections end when nothing is open on them
 	behind   atomic.Bool   // this process is late, or something is shed
 	oldest   atomic.Uint32 // ms that a command lay in the kernel, the most since the last look
 
@@ -61,6 +63,7 @@
 	lastID   uint32
 	hands    int // commands in hand
 	pools    map[uint32]*pool
+	ids      map[string]struct{} // of commands in hand, where the protocol names them
 	units    map[*unitConn]struct{}
 	clients  map[*client]struct{}
 	draining bool
@@ -100,14 +103,24 @@
 	again  float64          // earliest time to ask the policy again, 0: not
 	next   float64          // earliest of again and the deliveries' ends
 	place  int
+	owed   *owed // its place among its client's answers, where several are owed
 }
 
-// New makes a relay; cast takes the votes.
+// New makes a relay that speaks HTTP; cast takes the votes.
 func New(set *settings.Edge, seed uint64, log *slog.Logger, cast func(release.Vote)) *Relay {
+	return newRelay(set, web{}, seed, log, cast)
+}
+
+// NewPlatform makes one that speaks the platform's protocol.
+func NewPlatform(set *settings.Edge, seed uint64, log *slog.Logger, cast func(release.Vote)) *Relay {
+	return newRelay(set, plat{}, seed, log, cast)
+}
+
+func newRelay(set *settings.Edge, speech speech, seed uint64, log *slog.Logger, cast func(release.Vote)) *Relay {
 	now := time.Now()
-	r := &Relay{set: set, log: log, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
+	r := &Relay{set: set, log: log, speech: speech, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
-		pools: map[uint32]*pool{}, units: map[*unitConn]struct{}{}, clients: map[*client]struct{}{}}
+		pools: map[uint32]*pool{}, ids: map[string]struct{}{}, units: map[*unitConn]struct{}{}, clients: map[*client]struct{}{}}
 	r.keeper = version.NewKeeper(&set.Document, nil, 0, set.Patience())
 	r.now.Store(r.keeper.Present())
 	r.b = policy.New(*r.keeper.Present().Terms, seed, r.wall)
@@ -148,6 +161,13 @@
 	r.dropPools()
 }
 
+// Unchanged enters that the list still holds.
+func (r *Relay) Unchanged() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listAt = r.Now()
+}
+
 // Stage enters news of the newest build.
 func (r *Relay) Stage(build, stage int, phase policy.Phase, limit, age float64) {
 	r.mu.Lock()
@@ -190,6 +210,14 @@
 	r.b.Recall(r.Now(), build, stage, phase, limit, age, ago)
 }
 
+// Flagged enters that a unit gave a wrong answer to a delivery of age ago.
+func (r *Relay) Flagged(unit uint32, age float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count.Wrong++
+	r.b.Flagged(r.Now(), unit, age)
+}
+
 // VoteAnswered enters what became of the vote last cast.
 func (r *Relay) VoteAnswered(reply policy.VoteReply) {
 	r.mu.Lock()
@@ -217,22 +245,30 @@
 	closes []*unitConn
 	sends  []*delivery
 	answer answer
-	to     *client
+	to     *command // that it answers
 }
 
-// accept takes a command and does the first of what follows. The path of an ordinary command is: accept, Pick, send,
+// accept takes a command and does the first of what follows. nil: one with its id is in hand. The path of an ordinary command is: accept, Pick, send,
 // serveUnit, arrived, After, the answer.
-func (r *Relay) accept(cl *client, req *request, v *version.Version, op int) *command {
+func (r *Relay) accept(cl *client, req *request, v *version.Version, op int, x *owed) *command {
 	r.mu.Lock()
+	if _, twice := r.ids[req.id]; twice && req.id != "" {
+		r.mu.Unlock()
+		return nil
+	}
 	now := r.Now()
 	r.lastID++
-	c := &command{client: cl, req: req, under: v, place: -1, Command: policy.Command{ID: r.lastID, Op: op, Under: v.Terms,
+	c := &command{client: cl, req: req, under: v, place: -1, owed: x, Command: policy.Command{ID: r.lastID, Op: op, Under: v.Terms,
 		Key: req.key, Came: now, Due: now + v.Terms.Ops[op].Timeout, Work: req.work, Repeat: req.repeat}}
 	if req.due > 0 {
 		c.Due = min(c.Due, now+req.due)
 	}
 	c.Due -= req.waited
-	cl.cmd, cl.reading = c, false
+	if req.id != "" {
+		r.ids[req.id] = struct{}{}
+	}
+	cl.reading, cl.spoke = false, true
+	cl.open++
 	r.count.Taken++
 	r.hands++
 	r.byOp[op]++
@@ -278,14 +314,11 @@
 		}
 	case policy.Nack:
 		r.count.Nacked++
-		r.finish(c, plain(503, "nacked", "not done; trying again does no harm", s.Pause).under(c.under), a)
+		r.finish(c, r.speech.nacked(c.under, s.Pause), a)
 	case policy.Fail:
 		r.count.Failed++
-		status := 502
-		if n := len(c.outs); n > 0 && c.outs[n-1].result == policy.TimedOut {
-			status = 504
-		}
-		r.finish(c, plain(status, "failed", "failed; it may have been done", 0).under(c.under), a)
+		n := len(c.outs)
+		r.finish(c, r.speech.failed(c.under, n > 0 && c.outs[n-1].result == policy.TimedOut), a)
 	}
 	if s.Recall {
 		for _, d := range c.outs {
@@ -330,11 +363,8 @@
 
 // finish ends a command with its final answer.
 func (r *Relay) finish(c *command, ans answer, a *acts) {
-	c.Ended = true
-	r.hands--
-	r.byOp[c.Op]--
-	a.answer, a.to = ans, c.client
-	c.client.cmd = nil
+	r.close(c)
+	a.answer, a.to = ans, c
 	if r.draining {
 		c.client.last = true
 	}
@@ -343,6 +373,16 @@
 	}
 }
 
+// close takes a command out of hand.
+func (r *Relay) close(c *command) {
+	c.Ended = true
+	r.hands--
+	r.byOp[c.Op]--
+	c.client.open--
+	c.client.since = r.Now()
+	delete(r.ids, c.req.id)
+}
+
 // due puts a command where its next due time belongs.
 func (r *Relay) due(c *command) {
 	next := 0.0
@@ -372,7 +412,7 @@
 		r.send(d)
 	}
 	if a.to != nil {
-		a.to.reply(a.answer)
+		r.speech.reply(a.to, a.answer)
 	}
 }
 
@@ -476,10 +516,7 @@
 	}
 	now := r.Now()
 	r.count.Left++
-	r.hands--
-	r.byOp[c.Op]--
-	c.Ended = true
-	c.client.cmd = nil
+	r.close(c)
 	var a acts
 	r.apply(now, c, r.pick(now, c), &a)
 	r.mu.Unlock()
--- /dev/null
+++ b/relay/speech.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+
+	"flintspread/policy"
+	"flintspread/version"
+)
+
+// speech is the form that messages have on the wire: one seam to clients, one to units. It knows no rule and decides nothing.
+type speech interface {
+	// To clients: serve takes a client's commands until its connection is of no more use; nacked and failed word final answers
+	// of the relay's own, reply hands one to its client without waiting; crowded goes to a client there is no room for.
+	serve(cl *client)
+	nacked(v *version.Version, pause float64) answer
+	failed(v *version.Version, late bool) answer
+	reply(c *command, ans answer)
+	crowded(pause float64) []byte
+
+	// To units: word gives a delivery's bytes, left being the s that the relay waits for it; read reads its answer. An
+	// error says that the connection is of no further use, and that the delivery may have run. keep: the connection may be
+	// used again.
+	word(req *request, left float64) []byte
+	read(br *bufio.Reader, g *gate, d *delivery) (ans answer, result policy.Result, keep bool, err error)
+}
+
+// web is HTTP/1.1, as docs/protocol.md tells it.
+type web struct{}
+
+func (web) serve(cl *client) { cl.serve() }
+
+func (web) nacked(v *version.Version, pause float64) answer {
+	return plain(503, "nacked", "not done; trying again does no harm", pause).under(v)
+}
+
+func (web) failed(v *version.Version, late bool) answer {
+	status := 502
+	if late {
+		status = 504
+	}
+	return plain(status, "failed", "failed; it may have been done", 0).under(v)
+}
+
+func (web) reply(c *command, ans answer) { c.client.reply(ans) }
+
+func (web) crowded(pause float64) []byte {
+	return plain(503, "nacked", "too many connections", pause).closing().bytes
+}
+
+func (web) word(req *request, left float64) []byte {
+	buf := make([]byte, 0, len(req.head)+len(req.body)+40)
+	buf = append(buf, req.head...)
+	buf = fmt.Appendf(buf, headTime+": %.3f\r\n\r\n", left)
+	return append(buf, req.body...)
+}
+
+func (web) read(br *bufio.Reader, g *gate, d *delivery) (answer, policy.Result, bool, error) {
+	ans, status, full, keep, err := readAnswer(br, g, d.cmd.req.method, fmt.Sprintf("%d-%.3f", d.unit, d.at), d.cmd.under.Doc.Units.AnswerBytes)
+	switch {
+	case err != nil:
+		return answer{}, policy.Broken, false, err
+	case full:
+		return answer{}, policy.Full, keep, nil
+	case status >= 500:
+		return answer{}, policy.Errored, keep, nil
+	}
+	return ans.under(d.cmd.under), policy.Acked, keep, nil
+}
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"sync/atomic"
 	"time"
@@ -135,15 +134,20 @@
 	if p == nil {
 		return false
 	}
-	if n := len(p.idle); n > 0 {
+	for n := len(p.idle); n > 0; n = len(p.idle) {
 		uc := p.idle[n-1]
+		if uc.spoken() { // its reader has not come to it yet
+			r.drop(uc, a)
+			continue
+		}
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
 		uc.cur, d.conn, d.sentBy = d, uc, uc
 		a.sends = append(a.sends, d)
 		return true
 	}
-	if p.conns >= r.now.Load().Doc.Units.Connections {
+	lim := &r.now.Load().Doc.Units
+	if p.conns >= lim.Connections || lim.Total > 0 && len(r.units) >= lim.Total && !r.dropIdlest(a) {
 		return false
 	}
 	p.conns++
@@ -156,16 +160,33 @@
 	return true
 }
 
+// spoken tells whether an idle connection's unit has closed it, or sent what nobody asked for: what is written to it would be lost,
+// or take the answer of another.
+func (uc *unitConn) spoken() bool {
+	s := uc.sock.Load()
+	return s == nil || s.unread()
+}
+
+// dropIdlest gives back the descriptor of the connection that has been idle longest of all.
+func (r *Relay) dropIdlest(a *acts) bool {
+	var idlest *unitConn
+	for _, p := range r.pools {
+		if len(p.idle) > 0 && (idlest == nil || p.idle[0].since < idlest.since) {
+			idlest = p.idle[0]
+		}
+	}
+	if idlest != nil {
+		r.drop(idlest, a)
+	}
+	return idlest != nil
+}
+
 // send writes a delivery to its connection, unless it was dropped meanwhile.
 func (r *Relay) send(d *delivery) {
 	if !d.begin() {
 		return
 	}
-	req := d.cmd.req
-	buf := make([]byte, 0, len(req.head)+len(req.body)+40)
-	buf = append(buf, req.head...)
-	buf = fmt.Appendf(buf, headTime+": %.3f\r\n\r\n", max(0.001, d.until-r.Now()))
-	buf = append(buf, req.body...)
+	buf := r.speech.word(d.cmd.req, max(0.001, d.until-r.Now()))
 	s := d.sentBy.sock.Load()
 	n, err := s.writeNow(buf)
 	if err != nil && n == 0 {
@@ -245,13 +266,13 @@
 			r.broken(uc, d)
 			return
 		}
-		ans, status, full, keep, err := readAnswer(br, g, d.cmd.req.method, fmt.Sprintf("%d-%.3f", d.unit, d.at), d.cmd.under.Doc.Units.AnswerBytes)
+		ans, result, keep, err := r.speech.read(br, g, d)
 		if err != nil {
 			r.log.Debug("unit's answer", "unit", d.unit, "addr", uc.pool.addr, "error", err)
 			r.broken(uc, d)
 			return
 		}
-		if !r.arrived(uc, d, ans, status, full, keep && br.Buffered() == 0) {
+		if !r.arrived(uc, d, ans, result, keep && br.Buffered() == 0) {
 			nc.Close()
 			return
 		}
@@ -260,7 +281,7 @@
 }
 
 // arrived enters a unit's whole answer and tells whether the connection goes on.
-func (r *Relay) arrived(uc *unitConn, d *delivery, ans answer, status int, full, keep bool) bool {
+func (r *Relay) arrived(uc *unitConn, d *delivery, ans answer, result policy.Result, keep bool) bool {
 	r.mu.Lock()
 	now := r.Now()
 	c := d.cmd
@@ -277,17 +298,12 @@
 	} else {
 		r.drop(uc, &a)
 	}
-	switch {
-	case full:
-		r.ended(now, d, policy.Full, &a)
-	case status >= 500:
-		r.ended(now, d, policy.Errored, &a)
-	default:
+	if result == policy.Acked {
 		r.count.Acked++
 		r.answeredBy(c, now, len(c.req.head)+len(c.req.body)+len(ans.bytes))
-		r.finish(c, ans.under(c.under), &a)
-		r.ended(now, d, policy.Acked, &a)
+		r.finish(c, ans, &a)
 	}
+	r.ended(now, d, result, &a)
 	r.mu.Unlock()
 	r.do(&a)
 	return keep
--- a/relay/write.go
+++ b/relay/write.go
@@ -49,3 +49,17 @@
 	}
 	return n, err
 }
+
+// unread tells whether something lies unread in the kernel, or the peer has closed.
+func (s socket) unread() bool {
+	if s.raw == nil {
+		return false
+	}
+	is := false
+	s.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		is = err != syscall.EAGAIN
+	})
+	return is
+}
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -77,6 +77,7 @@
 	ReadTime    float64 `edn:"read-time" validate:"gt=0"` // s that a command may take to arrive
 	IdleTime    float64 `edn:"idle-time" validate:"gt=0"`
 	DrainTime   float64 `edn:"drain-time" validate:"gt=0"` // s that a stop waits for what is in hand
+	Evict       bool    `edn:"-"`                          // where they are full, the one that is idle longest goes
 }
 
 // Units bounds the connections to each unit.
@@ -85,6 +86,7 @@
 	DialTime    float64 `edn:"dial-time" validate:"gt=0"`
 	IdleTime    float64 `edn:"idle-time" validate:"gt=0"`
 	AnswerBytes int64   `edn:"answer-bytes" validate:"gt=0"`
+	Total       int     `edn:"-"` // connections to all units together, 0: not bounded
 }
 
 // Rules holds the numbers behind the five rules, and what a command may cost.
--- /dev/null
+++ b/settings/given.go
@@ -0,0 +1,20 @@
+package settings
+
+import (
+	"olympos.io/encoding/edn"
+
+	"flintspread/policy"
+)
+
+// Given makes the settings of a relay that a platform tells what to do: it gives the module's terms and the names of their op
+// types itself, no file does. Routes it has none: a command names its op type.
+func Given(name string, terms policy.Terms, ops []string, clients Clients, units Units, memory int64) *Edge {
+	d := Document{Schema: DocumentSchema, Clients: clients, Units: units, terms: terms,
+		Rules: Rules{Round: terms.Round, MaxPause: terms.MaxPause, UnitsForget: terms.Forget, OneWayKeys: terms.OneWay,
+			CountPerOp: terms.PerOp}}
+	for i, op := range terms.Ops {
+		d.OpTypes = append(d.OpTypes, OpType{Name: ops[i], Target: op.Target, Timeout: op.Timeout, Importance: op.Importance,
+			Group: [...]edn.Keyword{"all", "zone", "cell"}[op.Group], Window: op.Window})
+	}
+	return &Edge{Relay: name, Name: name, Document: d, Overload: &Overload{Memory: memory}}
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -31,13 +31,18 @@
 	Silence     float64 // s without a line after which the stream is taken for broken
 	Least, Most float64 // s of pause before coming back
 	Log         *slog.Logger
-	Client      *http.Client // without a time-out of its own
+	Client      *http.Client  // without a time-out of its own
+	Next        func() string // optional: the URL of the next try, in place of URL
+	Alive       func()        // optional: told of each empty line, which says that nothing changed
 }
 
 // Follow gives each line to take until ctx ends. A line that is no JSON, or that take refuses, breaks the stream: what
 // follows it might build on it, so the whole is asked for anew. Lost is called when a stream that had lines breaks.
 func Follow[T any](ctx context.Context, s Source, take func(*T) error, lost func()) {
 	for n := 0; ctx.Err() == nil; n++ {
+		if s.Next != nil {
+			s.URL = s.Next()
+		}
 		lines, err := s.once(ctx, func(text []byte) error {
 			line := new(T)
 			if err := json.Unmarshal(text, line); err != nil {
@@ -91,6 +96,9 @@
 	for in.Scan() {
 		quiet.Reset(silence)
 		if len(in.Bytes()) == 0 {
+			if s.Alive != nil {
+				s.Alive()
+			}
 			continue
 		}
 		if err := take(in.Bytes()); err != nil {
--- a/wire/terms.go
+++ b/terms/terms.go
@@ -1,4 +1,6 @@
-package wire
+// Package terms reads the settings that a deployment gives by name into what the module is told. The simulator's adapter and the
+// platform's relay read them by this one decoder.
+package terms
 
 import (
 	"fmt"
@@ -60,14 +62,20 @@
 	return list
 }
 
-// decodeTerms reads the settings text, path=value a line; unknown keys are skipped. Times become seconds.
-func decodeTerms(text string) (policy.Terms, error) {
-	r := &reader{pairs: map[string]string{}}
+// Lines gives the pairs of a settings text, path=value a line.
+func Lines(text string) map[string]string {
+	pairs := map[string]string{}
 	for _, line := range strings.Split(text, "\n") {
 		if key, value, ok := strings.Cut(line, "="); ok {
-			r.pairs[key] = strings.TrimSuffix(value, "\r")
+			pairs[key] = strings.TrimSuffix(value, "\r")
 		}
 	}
+	return pairs
+}
+
+// Read reads the module's part of the settings; unknown keys are skipped. Times become seconds.
+func Read(pairs map[string]string) (policy.Terms, error) {
+	r := &reader{pairs: pairs}
 	const fam = "family_info."
 	t := policy.Terms{
 		Balancers:   int(r.num("balancers")),
--- a/version/keeper.go
+++ b/version/keeper.go
@@ -41,6 +41,14 @@
 	return v.slot[v.Doc.OpTypes[op].Name]
 }
 
+// Named gives the place of an op type among the policy's, -1 where none is called so.
+func (v *Version) Named(op []byte) int {
+	if place, ok := v.slot[string(op)]; ok {
+		return place
+	}
+	return -1
+}
+
 // Situation is what a version would meet.
 type Situation struct {
 	InHand  map[string]int // commands by op type
--- a/wire/host.go
+++ b/wire/host.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"flintspread/policy"
+	"flintspread/terms"
 )
 
 // Event and action codes.
@@ -188,11 +189,11 @@
 	if err != nil {
 		return err
 	}
-	terms, err := decodeTerms(string(text))
+	t, err := terms.Read(terms.Lines(string(text)))
 	if err != nil {
 		return err
 	}
-	x := &instance{id: id, b: policy.New(terms, rec.u64(5), h.now), ops: len(terms.Ops),
+	x := &instance{id: id, b: policy.New(t, rec.u64(5), h.now), ops: len(t.Ops),
 		cmds: map[uint32]*policy.Command{}}
 	h.instances[id] = x
 	h.turn(x)
--- a/wire/host_test.go
+++ b/wire/host_test.go
@@ -8,7 +8,7 @@
 	"strings"
 )
 
-const terms = "balancers=1\nround=5\ndiscovery=push\npolicy_limits.parallel_tries=false\npolicy_limits.may_cancel=true\n" +
+const termsText = "balancers=1\nround=5\ndiscovery=push\npolicy_limits.parallel_tries=false\npolicy_limits.may_cancel=true\n" +
 	"policy_limits.max_retry_after=1000\npolicy_limits.send_cap=3\npolicy_limits.conn_idle=15000\npolicy_limits.max_streams=100\nrules.cold_from=0.3\n" +
 	"rules.warm_up=4000\nrules.fall_multiple=3\nrules.fall=2000\nfamily_info.window=4000\nfamily_info.spare_tries=1\n" +
 	"family_info.exposure_caps=0.1,1.0\nfamily_info.waves=0.1,1.0\nfamily_info.counts=all\nfamily_info.shielded=0\n" +
@@ -57,20 +57,20 @@
 }
 
 func hi(inst uint32) []byte {
-	return rec(hello, inst, map[int]any{5: uint64(9), 13: uint32(0), 17: uint32(len(terms))})
+	return rec(hello, inst, map[int]any{5: uint64(9), 13: uint32(0), 17: uint32(len(termsText))})
 }
 
 // A batch of all that matters: a table of one unit, two lives of an instance, a command, its outcome, stale events.
 func Example_roundTrip() {
 	entry := string(rec(9, 0, map[int]any{0: uint32(77), 15: float32(1)})[:entryLen])
-	tab := rec(table, 0, map[int]any{1: uint16(3), 3: uint32(len(terms)), 7: uint32(1)})
+	tab := rec(table, 0, map[int]any{1: uint16(3), 3: uint32(len(termsText)), 7: uint32(1)})
 	list := rec(directoryUpdate, 5, map[int]any{5: byte(2), 10: uint16(3)})
 	cmd := func(id uint32) []byte { return rec(ingress, 5, map[int]any{5: id, 9: 600.0}) }
 	end := func(id uint32, verdict uint16) []byte {
 		return rec(outcome, 5, map[int]any{5: id, 11: uint32(77), 15: verdict, 17: 9.0})
 	}
 	fmt.Println(serve(frame(0, ""),
-		frame(1e3, terms+entry, tab, hi(5), list, rec(down, 5, nil), hi(5), list, cmd(41)),
+		frame(1e3, termsText+entry, tab, hi(5), list, rec(down, 5, nil), hi(5), list, cmd(41)),
 		frame(2e3, "", end(41, 0), end(41, 0), cmd(42), rec(vanished, 5, map[int]any{5: uint32(42)}), end(99, 1)),
 		frame(3e3, "", end(42, 1), rec(elapsed, 5, map[int]any{5: uint64(123)}), cmd(43), rec(down, 8, nil))))
 	// Output:
@@ -79,15 +79,15 @@
 
 // Bad input ends the adapter with one plain line.
 func Example_badInput() {
-	good := frame(1, terms, hi(1))
+	good := frame(1, termsText, hi(1))
 	broken := bytes.Replace(good, []byte("rules.fall="), []byte("rules.fell="), 1)
 	noNumber := bytes.Replace(good, []byte("window=4000"), []byte("window=four"), 1)
 	op := rec(ingress, 1, map[int]any{17: byte(7)})
 	for _, in := range [][]byte{
 		good[:2], good[:len(good)-1], {255, 255, 255, 255}, {8, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1},
-		frame(1, "", rec(3, 1, nil)), frame(1, "", hi(1)), broken, noNumber, frame(1, terms, hi(1), op),
+		frame(1, "", rec(3, 1, nil)), frame(1, "", hi(1)), broken, noNumber, frame(1, termsText, hi(1), op),
 		frame(1, "", rec(table, 0, map[int]any{1: uint16(16)})), frame(1, "", rec(table, 0, map[int]any{7: uint32(1)})),
-		frame(1, terms, hi(1), rec(directoryUpdate, 1, map[int]any{5: byte(4)})),
+		frame(1, termsText, hi(1), rec(directoryUpdate, 1, map[int]any{5: byte(4)})),
 	} {
 		_, err := serve(in)
 		fmt.Println(err)
@@ -113,12 +113,12 @@
 	for i := range 400 {
 		entries.Write(rec(9, 0, map[int]any{0: uint32(1000 + i), 15: float32(1)})[:entryLen])
 	}
-	recs := [][]byte{rec(table, 0, map[int]any{3: uint32(len(terms)), 7: uint32(400)})}
+	recs := [][]byte{rec(table, 0, map[int]any{3: uint32(len(termsText)), 7: uint32(400)})}
 	for i := range uint32(300) {
 		recs = append(recs, hi(i), rec(directoryUpdate, i, map[int]any{5: byte(2)}),
 			rec(ingress, i, map[int]any{5: i, 9: 600.0}))
 	}
-	out, err := serve(frame(1e3, terms+entries.String(), recs...))
+	out, err := serve(frame(1e3, termsText+entries.String(), recs...))
 	fmt.Println(strings.Count(out, "remind"), "timers,", strings.Count(out, "route"), "routes", err)
 	// Output: 300 timers, 300 routes <nil>
 }
