--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,7 @@
 	debug.SetMemoryLimit(int64(forHeap * float64(t.Memory)))
 	terms := t.Terms
 	terms.Forget, terms.Keys = forget, keysKept
+	terms.Streams = 1 // whatever units allow, this relay has one delivery out on a connection
 	units := int(forUnits * float64(t.Sockets))
 	set := settings.Given(t.Name, terms, t.Ops,
 		settings.Clients{Connections: int(forClients * float64(t.Sockets)), ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin, Evict: true},
@@ -80,7 +81,7 @@
 	n.line = &platform.Line{Stages: len(terms.Stages), Timeout: terms.VoteTimeout, Log: log, News: n.news, Blamed: n.blamed,
 		Replied: func(_ release.Vote, reply policy.VoteReply) { n.relay.VoteAnswered(reply) }}
 	n.line.Open(t.Platform)
-	n.relay = relay.NewPlatform(set, t.Seed, log, n.line.Cast)
+	n.relay = relay.NewPlatform(set, t.Seed, log, n.cast)
 	if t.News != nil {
 		n.news(*t.News)
 	}
@@ -199,6 +200,32 @@
 	return nil
 }
 
+// cast hands a vote on. One that sends a build back is logged with what it rests on.
+func (n *Node) cast(v release.Vote) {
+	if v.Verdict == policy.VoteBack {
+		type sum struct{ Units, N, Bad [len(policy.Kinds)]float64 }
+		by := map[int]*sum{}
+		for _, t := range n.relay.Counted().Tally {
+			s := by[t.Build]
+			if s == nil {
+				s = &sum{}
+				by[t.Build] = s
+			}
+			for i := range t.N {
+				s.N[i] += t.N[i]
+				s.Bad[i] += t.Bad[i]
+				if t.Bad[i] > 0 {
+					s.Units[i]++
+				}
+			}
+		}
+		for build, s := range by {
+			n.log.Info("evidence", "trial", v.Build, "build", build, "kinds", policy.Kinds, "outcomes", s.N, "failures", s.Bad, "failing_units", s.Units)
+		}
+	}
+	n.line.Cast(v)
+}
+
 func (n *Node) news(s platform.State) {
 	n.relay.Stage(s.Build, s.Stage, s.PhaseOf(), s.Cap, s.AgeMS/1000)
 }
--- /dev/null
+++ b/node/site_test.go
@@ -0,0 +1,367 @@
+package node
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"flintspread/audit"
+	"flintspread/resp"
+)
+
+// site plays what is around one relay in the platform's protocol, and enters what it sees on its sockets.
+type site struct {
+	t     *testing.T
+	rec   *audit.Record
+	base  time.Time // of the present stage
+	mu    sync.Mutex
+	seq   int
+	hosts []map[string]any
+	watch map[chan []byte]bool
+	desks map[net.Conn]bool
+	stage int
+	phase string
+	votes []string
+	stop  chan struct{}
+}
+
+const (
+	relayName = "n1"
+	trial     = 2
+)
+
+var caps = []float64{0.2, 0.5}
+
+// clock is the one that all watch by, s since 1970 as units' starts are.
+func (s *site) clock() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, rec: audit.NewRecord(), watch: map[chan []byte]bool{}, desks: map[net.Conn]bool{}, phase: "trial", base: time.Now(), stop: make(chan struct{})}
+	t.Cleanup(func() { close(s.stop) })
+	return s
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+func unitID(host string) uint32 {
+	n, _ := strconv.Atoi(strings.TrimPrefix(host, "u"))
+	return uint32(n)
+}
+
+// unit starts one that fails a share of its deliveries, in every way there is.
+func (s *site) unit(n, build int, bad float64) {
+	l := listen(s.t)
+	host := fmt.Sprintf("u%d", n)
+	s.rec.Enter(func(r *audit.Record) {
+		r.Units[uint32(n)] = &audit.Unit{ID: uint32(n), Build: build, Capacity: 1e9}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, uint32(n), bad)
+		}
+	}()
+	s.list(host, l.Addr().String(), build, "SERVING")
+}
+
+func (s *site) serve(c net.Conn, unit uint32, bad float64) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		args, err := resp.Command(br)
+		if err != nil {
+			return
+		}
+		id, _ := strconv.ParseUint(string(args[2]), 16, 64)
+		d := &audit.Delivery{Command: id, Unit: unit, At: s.clock()}
+		good := fmt.Sprintf("*3\r\n$17\r\nv%016x\r\n$-1\r\n$-1\r\n", id)
+		text := good
+		if rand.Float64() < bad {
+			switch rand.IntN(7) {
+			case 0:
+				text = "-ERR failed\r\n"
+			case 1:
+				text, d.Never = "-BUSY\r\n", d.At
+			case 2:
+				text = "" // silent
+			case 3:
+				text = "*3\r\n$3000000000\r\nxx"
+			case 4:
+				text = "?noise\r\n"
+			case 5:
+				text = good + good
+			case 6:
+				s.rec.Enter(func(r *audit.Record) { r.Deliveries = append(r.Deliveries, d) })
+				c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+		}
+		s.rec.Enter(func(r *audit.Record) { r.Deliveries = append(r.Deliveries, d) })
+		time.Sleep(2 * time.Millisecond)
+		io.WriteString(c, text)
+	}
+}
+
+// list changes one entry, and tells all who watch.
+func (s *site) list(host, dial string, build int, health string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := map[string]any{"host": host, "dial": dial, "site": "a", "class": "m", "block": 0, "health": health, "share": 1.0, "born_ms": 0, "image_id": build}
+	kept := s.hosts[:0]
+	for _, old := range s.hosts {
+		if old["host"] != host {
+			kept = append(kept, old)
+		}
+	}
+	s.hosts = append(kept, e)
+	s.seq++
+	s.told(e)
+	text, _ := json.Marshal(map[string]any{"seq": s.seq, "whole": false, "hosts": []any{e}})
+	for w := range s.watch {
+		w <- text
+	}
+}
+
+func (s *site) told(e map[string]any) {
+	at := s.clock()
+	s.rec.Enter(func(r *audit.Record) {
+		r.Told = append(r.Told, audit.Told{At: at, Relay: relayName, Unit: unitID(e["host"].(string)), Ready: e["health"] == "SERVING"})
+	})
+}
+
+// discovery starts an agent. Until well is closed, if it is not nil, its answers are spoilt.
+func (s *site) discovery(spoil func() bool) *httptest.Server {
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if spoil != nil && spoil() {
+			io.WriteString(w, `{"seq":9,"whole":true,"hosts":[{"host":"u1","health":"SERVING","dial":"nowhere"}]}`+"\n")
+			return
+		}
+		ch := make(chan []byte, 100)
+		s.mu.Lock()
+		s.watch[ch] = true
+		for _, e := range s.hosts {
+			s.told(e)
+		}
+		text, _ := json.Marshal(map[string]any{"seq": s.seq, "whole": true, "hosts": s.hosts})
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.watch, ch)
+		}()
+		for {
+			fmt.Fprintf(w, "%s\n", text)
+			w.(http.Flusher).Flush()
+			select {
+			case <-s.stop:
+				return
+			case <-req.Context().Done():
+				return
+			case text = <-ch:
+			case <-time.After(500 * time.Millisecond):
+				text = nil
+			}
+		}
+	}))
+	s.t.Cleanup(func() { h.CloseClientConnections(); h.Close() })
+	return h
+}
+
+// state words how the trial build stands. Under the lock.
+func (s *site) state() string {
+	return fmt.Sprintf("%d %d %s %v %d", trial, s.stage, s.phase, s.cap(), time.Since(s.base).Milliseconds())
+}
+
+func (s *site) cap() float64 {
+	if s.phase == "released" {
+		return 1
+	}
+	return caps[s.stage]
+}
+
+// tell enters what the relay hears of the release; released and trial are the audit's words as well, but for the latter.
+func (s *site) tell() {
+	n := audit.News{At: s.clock(), Relay: relayName, Build: trial, Stage: s.stage, Phase: map[string]string{"trial": "on-trial"}[s.phase], Cap: s.cap()}
+	if n.Phase == "" {
+		n.Phase = s.phase
+	}
+	s.rec.Enter(func(r *audit.Record) { r.News = append(r.News, n) })
+}
+
+// desk starts a control service: each PROCEED moves the build on. Every third answer to a vote is spoilt.
+func (s *site) desk() net.Listener {
+	l := listen(s.t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				defer func() { s.mu.Lock(); delete(s.desks, c); s.mu.Unlock() }()
+				br := bufio.NewReader(c)
+				for {
+					c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+					line, err := br.ReadString('\n')
+					if err != nil && os.IsTimeout(err) {
+						io.WriteString(c, "*\r\n") // a sign of life
+						continue
+					}
+					if err != nil {
+						return
+					}
+					s.answer(c, strings.Fields(line))
+				}
+			}()
+		}
+	}()
+	return l
+}
+
+func (s *site) answer(c net.Conn, f []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f[0] == "follow" {
+		s.desks[c] = true
+		s.tell()
+		fmt.Fprintf(c, "OK\r\n* progress %s\r\n* metrics %d lookup 5 0 1.5 100\r\n*\r\n", s.state(), trial)
+		return
+	}
+	s.votes = append(s.votes, strings.Join(f, " "))
+	if len(s.votes)%3 == 1 {
+		io.WriteString(c, "OK 2 0 tr\x00al\r\n")
+		return
+	}
+	if f[3] == "PROCEED" && f[2] == strconv.Itoa(s.stage) && s.phase == "trial" {
+		s.base = time.Now()
+		if s.stage++; s.stage == len(caps) {
+			s.stage, s.phase = len(caps)-1, "released"
+		}
+	}
+	s.tell()
+	fmt.Fprintf(c, "OK %s\r\n", s.state())
+	for other := range s.desks {
+		if other != c {
+			fmt.Fprintf(other, "* progress %s\r\n", s.state())
+		}
+	}
+}
+
+func (s *site) known() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text, _ := json.Marshal(map[string]any{"seq": s.seq, "whole": true, "hosts": s.hosts})
+	return string(text)
+}
+
+// config words the platform's file.
+func (s *site) config(address, discovery, desk string) string {
+	return fmt.Sprintf(`{"name":%q,"listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":64,"sockets":256},
+"platform":{"address":%q,"news":{"build":2,"stage":0,"phase":"trial","cap":0.2,"age_ms":0}},
+"known":%s,"settings":%s}`, relayName, address, discovery, desk, s.known(), settingsText)
+}
+
+const settingsText = `{"balancers":1,"round":5.0,"discovery":"push",
+"classes":[{"name":"lookup","aim":300.0,"deadline":600.0,"value":1.0,"semantics":"safe","group":"all","key_ttl":0.0},
+ {"name":"order","aim":300.0,"deadline":600.0,"value":1.0,"semantics":"keyed","group":"all","key_ttl":5000.0},
+ {"name":"seal","aim":300.0,"deadline":600.0,"value":1.0,"semantics":"unsafe","group":"all","key_ttl":0.0}],
+"policy_limits":{"parallel_tries":true,"may_cancel":true,"retry_after":true,"max_retry_after":100.0,"send_cap":4,"conn_idle":5000.0,"max_streams":1,"dial_timeout":250.0},
+"rules":{"cold_from":0.3,"warm_up":1000.0,"fall_multiple":4.0,"fall":1000.0,"stop_sending_within":300.0},
+"family_info":{"window":1000.0,"spare_tries":1.0,"exposure_caps":[0.2,0.5],"waves":[0.5,1.0],"counts":"all","shielded":0,"forward_only":false,
+ "gate_mode":"first_voice","replace_mode":"parallel","noes_needed":1,"harm_fee":3.0,"stale_build_price":0.3,"reported_share":0.3,"vote_life":5000.0,
+ "api_timeout":300.0,"votes_per_s":20.0}}`
+
+// client asks until it is told to stop, one command after the other, each on the connection before it while that lasts.
+func (s *site) client(n int, address string, until <-chan struct{}) {
+	var c net.Conn
+	var br *bufio.Reader
+	for i := 0; ; i++ {
+		select {
+		case <-until:
+			if c != nil {
+				c.Close()
+			}
+			return
+		default:
+		}
+		if c == nil {
+			var err error
+			if c, err = net.Dial("tcp", address); err != nil {
+				s.t.Error(err)
+				return
+			}
+			br = bufio.NewReader(c)
+		}
+		const given = 0.4
+		cmd := &audit.Command{ID: uint64(n)<<32 | uint64(i+1), Relay: relayName, Group: "all", Window: 5, Importance: 1, Target: 0.3}
+		list := []string{"API.READ", fmt.Sprintf("key%d", i%7), fmt.Sprintf("%016x", cmd.ID), "c=lookup,d=400"}
+		switch i % 3 {
+		case 0:
+			cmd.Op, cmd.Effect = "lookup", audit.Redeliverable
+		case 1:
+			cmd.Op, cmd.Effect = "order", audit.Deduplicated
+			list = append(list, "BODY")
+			list[0], list[3] = "API.WRITE", fmt.Sprintf("c=order,d=400,k=%x", cmd.ID)
+		default:
+			cmd.Op, cmd.Effect = "seal", audit.AtMostOnce
+			list = append(list, "BODY")
+			list[0], list[3] = "API.WRITE", "c=seal,d=400"
+		}
+		buf := resp.Array(nil, len(list))
+		for _, w := range list {
+			buf = resp.Bulk(buf, w)
+		}
+		cmd.Asked = s.clock()
+		cmd.First, cmd.Due = cmd.Asked, cmd.Asked+given
+		s.rec.Enter(func(r *audit.Record) { r.Commands[cmd.ID] = cmd })
+		c.Write(buf)
+		c.SetReadDeadline(time.Now().Add(2 * time.Second))
+		line, err := br.ReadString('\n')
+		kind := ""
+		switch {
+		case strings.HasPrefix(line, "-BUSY"):
+			kind = "nacked"
+		case strings.HasPrefix(line, "-ERR"):
+			kind = "failed"
+		case line == "$17\r\n":
+			var value string
+			if value, err = br.ReadString('\n'); value == fmt.Sprintf("v%016x\r\n", cmd.ID) {
+				kind = "acked"
+			}
+		}
+		s.rec.Enter(func(*audit.Record) {
+			if err != nil {
+				cmd.Broken = s.clock()
+			} else {
+				cmd.Answers = append(cmd.Answers, audit.Answer{At: s.clock(), Kind: kind})
+			}
+		})
+		if err != nil {
+			c.Close()
+			c = nil
+		}
+	}
+}
--- a/relay/client.go
+++ b/relay/client.go
@@ -85,15 +85,24 @@
 	}
 }
 
-// evict has the connection go that has been idle longest, those first that never sent anything. Its reader closes it: what it
-// has begun to read meanwhile is served. Under the lock.
+// evict has the connection go that has been idle longest, those first that never sent a command, last those whose first is still
+// on its way. Its reader closes it: what it has begun to read meanwhile is served. Under the lock.
 func (r *Relay) evict() bool {
 	var first *client
+	sooner := func(a, b *client) bool {
+		if a.reading != b.reading {
+			return b.reading
+		}
+		if a.spoke != b.spoke {
+			return b.spoke
+		}
+		return a.since < b.since
+	}
 	for cl := range r.clients {
-		if cl.open > 0 || cl.reading || cl.going {
+		if cl.open > 0 || cl.going || cl.reading && cl.spoke {
 			continue
 		}
-		if first == nil || !cl.spoke && first.spoke || cl.spoke == first.spoke && cl.since < first.since {
+		if first == nil || sooner(cl, first) {
 			first = cl
 		}
 	}
--- /dev/null
+++ b/relay/platform_test.go
@@ -0,0 +1,458 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"flintspread/policy"
+	"flintspread/release"
+	"flintspread/resp"
+	"flintspread/roster"
+	"flintspread/settings"
+)
+
+// newSite is a hall whose relay speaks the platform's protocol.
+func newSite(t testing.TB, edit func(*settings.Edge)) *hall {
+	terms := policy.Terms{Balancers: 1, BackVotes: 1, Round: 0.005, Parallel: true, Cancel: true, MaxPause: 1.5, ConnIdle: 10, Streams: 1,
+		Deliveries: 4, ColdFrom: 0.3, WarmUp: 1, FallFactor: 3, FallTime: 1, Window: 4, Free: 2, Caps: []float64{0.5, 1},
+		Stages: []float64{0.5, 1}, VoteLife: 10, VoteTimeout: 1, VoteRate: 10, HarmPrice: 1, StalePrice: 1, Forget: 60,
+		Ops: []policy.OpType{{Target: 0.3, Timeout: 0.6, Importance: 1},
+			{Target: 0.3, Timeout: 0.6, Importance: 1, Effect: policy.Deduplicated, Window: 5},
+			{Target: 0.3, Timeout: 0.6, Importance: 1, Effect: policy.AtMostOnce}}}
+	set := settings.Given("r1", terms, []string{"lookup", "order", "seal"},
+		settings.Clients{Connections: 50, ReadTime: 1, IdleTime: 20, DrainTime: 3, Evict: true},
+		settings.Units{Connections: 20, Total: 20, DialTime: 0.25, IdleTime: 8}, 0)
+	if edit != nil {
+		edit(set)
+	}
+	h := &hall{t: t, r: NewPlatform(set, 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(release.Vote) {}),
+		unit: map[uint32]*unitScript{}, done: make(chan error, 1)}
+	var err error
+	if h.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	go func() { h.done <- h.r.Serve(h.l) }()
+	t.Cleanup(func() {
+		h.l.Close()
+		for _, u := range h.unit {
+			u.l.Close()
+		}
+		h.r.Close()
+	})
+	return h
+}
+
+// words takes one delivery and notes it.
+func (u *unitScript) words(br *bufio.Reader) ([]string, bool) {
+	args, err := resp.Command(br)
+	if err != nil {
+		return nil, false
+	}
+	var list []string
+	for _, a := range args {
+		list = append(list, string(a))
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.seen = append(u.seen, strings.Join(list, " "))
+	return list, true
+}
+
+// value is a unit's answer with a value made of the delivery's id.
+func value(id string) string { return fmt.Sprintf("*3\r\n$%d\r\nv%s\r\n$-1\r\n$-1\r\n", len(id)+1, id) }
+
+func echo(u *unitScript, c net.Conn, br *bufio.Reader) {
+	for {
+		w, ok := u.words(br)
+		if !ok {
+			return
+		}
+		io.WriteString(c, value(w[2]))
+	}
+}
+
+// says answers every delivery with a text, in which ID stands for its id.
+func says(text string) func(*unitScript, net.Conn, *bufio.Reader) {
+	return func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		for {
+			w, ok := u.words(br)
+			if !ok {
+				return
+			}
+			io.WriteString(c, strings.ReplaceAll(text, "VALUE", value(w[2])))
+		}
+	}
+}
+
+var lastID int
+
+// cmd words a client's command: c is its class.
+func cmd(c string) (text, id string) {
+	lastID++
+	id = fmt.Sprintf("%016x", lastID)
+	switch c {
+	case "lookup":
+		return words("API.READ", "7f3a", id, "c=lookup,d=500"), id
+	case "order":
+		return words("API.WRITE", "7f3a", id, "c=order,d=500,k=5c0f", "BODY"), id
+	}
+	return words("API.WRITE", "7f3a", id, "c=seal,d=500", "BODY"), id
+}
+
+func words(list ...string) string {
+	buf := resp.Array(nil, len(list))
+	for _, w := range list {
+		buf = resp.Bulk(buf, w)
+	}
+	return string(buf)
+}
+
+// line reads one answer: a value, or the line that stands for it.
+func (c *talk) line() string {
+	text, err := c.br.ReadString('\n')
+	if err != nil {
+		return "closed"
+	}
+	text = strings.TrimSpace(text)
+	if n, err := strconv.Atoi(strings.TrimPrefix(text, "$")); err == nil && text[0] == '$' {
+		buf := make([]byte, n+2)
+		if _, err := io.ReadFull(c.br, buf); err != nil {
+			return "closed"
+		}
+		return string(buf[:n])
+	}
+	return text
+}
+
+func (h *hall) say(text string) string {
+	c := h.dial()
+	defer c.Close()
+	io.WriteString(c, text)
+	return c.line()
+}
+
+// What units get of a command is what its client sent, but for d.
+func TestPlatformOrdinaryPath(t *testing.T) {
+	h := newSite(t, nil)
+	u := h.serve(1, 1, echo)
+	c := h.dial()
+	io.WriteString(c, words("PING"))
+	h.want("ping", c.line(), "+PONG")
+	for _, class := range []string{"lookup", "order", "seal"} {
+		text, id := cmd(class)
+		io.WriteString(c, text)
+		h.want(class, c.line(), "v"+id)
+		got := strings.Fields(u.all()[strings.LastIndex(u.all(), "\n")+1:])
+		var d int
+		for i, w := range got {
+			if at := strings.Index(w, "d="); at >= 0 {
+				rest := w[at+2:]
+				end := strings.IndexByte(rest+",", ',')
+				d, _ = strconv.Atoi(rest[:end])
+				got[i] = w[:at+2] + "500" + rest[end:]
+			}
+		}
+		h.want("passed on", words(got...), text)
+		if d < 300 || d >= 500 {
+			t.Errorf("d=%d of a command that has 500 ms left", d)
+		}
+	}
+	if n := h.r.Numbers(); n.Dials != 1 || n.Acked != 3 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// The protocol's table of outcomes: a unit ends each delivery so; none says anything of what may run twice that it must not.
+func TestPlatformOutcomes(t *testing.T) {
+	cut := func(u *unitScript, c net.Conn, br *bufio.Reader) { u.words(br) }
+	ends := []struct {
+		name                string
+		play                func(*unitScript, net.Conn, *bufio.Reader)
+		lookup, order, seal string // v: served by the unit that is well
+	}{
+		{"error", says("-ERR failed\r\n"), "v", "v", "-ERR"},
+		{"error with a report", says("-ERR failed inflight=7,util=0.61\r\n"), "v", "v", "-ERR"},
+		{"turned away", says("-BUSY\r\n"), "v", "v", "v"},
+		{"turned away with a report", says("-BUSY inflight=7\r\n"), "v", "v", "v"},
+		{"closed", cut, "v", "v", "-ERR"},
+		{"noise", says("x?#\r\n"), "v", "v", "-ERR"},
+		{"another error", says("-SYNTAX\r\n"), "v", "v", "-ERR"},
+		{"no array", says("$5\r\nhello\r\n"), "v", "v", "-ERR"},
+		{"a null value", says("*3\r\n$-1\r\n$-1\r\n$-1\r\n"), "v", "v", "-ERR"},
+		{"a length too small", says("*3\r\n$2\r\nhello\r\n$-1\r\n$-1\r\n"), "v", "v", "-ERR"},
+		{"a negative length", says("*3\r\n$-5\r\nhello\r\n$-1\r\n$-1\r\n"), "v", "v", "-ERR"},
+		{"3 GB", says("*3\r\n$3000000000\r\n" + strings.Repeat("x", 8000)), "v", "v", "-ERR"},
+		{"a line without end", says("-" + strings.Repeat("x", 8000)), "v", "v", "-ERR"},
+	}
+	for _, e := range ends {
+		for i, class := range []string{"lookup", "order", "seal"} {
+			want := []string{e.lookup, e.order, e.seal}[i]
+			h := newSite(t, nil)
+			bad := h.serve(1, 1, e.play)
+			well := h.serve(2, 1, echo)
+			met := false
+			for try := 0; try < 200 && !met; try++ {
+				before := bad.count()
+				all := before + well.count()
+				text, id := cmd(class)
+				got := h.say(text)
+				if met = bad.count() > before; !met {
+					continue
+				}
+				if want == "v" && got != "v"+id || want != "v" && !strings.HasPrefix(got, want) {
+					t.Errorf("%s, %s: %q, want %q", e.name, class, got, want)
+				}
+				if n := bad.count() + well.count() - all; want != "v" && n != 1 {
+					t.Errorf("%s, %s: %d deliveries", e.name, class, n)
+				}
+			}
+			if !met {
+				t.Errorf("%s, %s: the unit was never met", e.name, class)
+			}
+		}
+	}
+}
+
+// Units give values far above those that they take.
+func TestPlatformLargeValue(t *testing.T) {
+	h := newSite(t, nil)
+	big := strings.Repeat("x", 400_000)
+	u := h.serve(1, 1, says("*3\r\n$400000\r\n"+big+"\r\n$-1\r\n$-1\r\n"))
+	c := h.dial()
+	for range 5 {
+		text, _ := cmd("seal")
+		io.WriteString(c, text)
+		if got := c.line(); got != big {
+			t.Fatalf("%.60q", got)
+		}
+	}
+	if n := h.r.Numbers(); n.Dials != 1 || u.count() != 5 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// A value that has room for more is served, what comes behind it is nobody's: neither on its heels nor later.
+func TestPlatformBytesTooMany(t *testing.T) {
+	for _, late := range []time.Duration{0, 3 * time.Millisecond} {
+		h := newSite(t, nil)
+		u := h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+			for {
+				w, ok := u.words(br)
+				if !ok {
+					return
+				}
+				io.WriteString(c, value(w[2]))
+				time.Sleep(late)
+				io.WriteString(c, value(w[2]))
+			}
+		})
+		c := h.dial()
+		for range 20 {
+			text, id := cmd("seal")
+			io.WriteString(c, text)
+			h.want("served", c.line(), "v"+id)
+			time.Sleep(2 * late) // the second copy is there by then, whether its reader has run or not
+		}
+		if u.count() != 20 {
+			t.Errorf("%d deliveries", u.count())
+		}
+	}
+}
+
+// What is no command gets an error or a close, and never reaches a unit; usual clients are served meanwhile.
+func TestPlatformBadClients(t *testing.T) {
+	h := newSite(t, nil)
+	u := h.serve(1, 1, echo)
+	read := func(extras string) string { return words("API.READ", "k1", "1d", extras) }
+	for _, text := range []string{
+		"x\r\n", "*\r\n", "*-1\r\n", "*0\r\n", "*99999999999\r\n", "*1\r\n$-1\r\n", "*1\r\n$60000000\r\n", "*2\r\n$4\r\nPINGx\r\n", "*1\r\n:4\r\n",
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n", strings.Repeat("x", 20000), "*4\r\n$8\r\nAPI.READ\r\n$65537\r\n",
+		words("FLUSHALL"), words("API.READ"), words("API.READ", "k1", "1d"), words("API.READ", "k1", "", "c=lookup,d=100"),
+		words("API.READ", "k1", "a b", "c=lookup,d=100"), words("API.READ", "", "1d", "c=lookup,d=100"),
+		read("c=nothing,d=100"), read("d=100"), read("c=lookup"), read("c=lookup,d="), read("c=lookup,d=soon"), read("c=lookup,d=-5"),
+		read("c=lookup,d=0"), read("c=lookup,d=99999999999999"), read("c=lookup,d=1,d=2"), read("c=lookup,d=100,k=1"), read("c=lookup,d=100,z=1"),
+		read("c=order,d=100,k=1"), read("c=lookup,,d=100"), words("API.WRITE", "k1", "1d", "c=order,d=100", "B"),
+		words("API.WRITE", "k1", "1d", "c=lookup,d=100", "B"), words("API.READ", "k1", "1d", "c=lookup,d=100", "B"),
+	} {
+		if got := h.say(text); got != "closed" && !strings.HasPrefix(got, "-ERR") {
+			t.Errorf("%.60q: %q", text, got)
+		}
+	}
+	var silent []*talk
+	for i := range 200 { // far above what there is room for
+		c := h.dial()
+		if i%2 == 0 {
+			io.WriteString(c, "*4\r\n$8\r\nAPI.")
+		}
+		silent = append(silent, c)
+	}
+	text, id := cmd("lookup")
+	h.want("a usual client", h.say(text), "v"+id)
+	for i, c := range silent {
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := c.br.ReadByte(); errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("connection %d is still open", i)
+		}
+	}
+	if u.count() != 1 {
+		t.Errorf("units met %q", u.all())
+	}
+}
+
+// Commands behind one another are each taken as they come; answers follow their order. An id that is in hand is no other's.
+func TestPlatformAskAhead(t *testing.T) {
+	h := newSite(t, nil)
+	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		for {
+			w, ok := u.words(br)
+			if !ok {
+				return
+			}
+			if w[1] == "slow" {
+				time.Sleep(60 * time.Millisecond)
+			}
+			io.WriteString(c, value(w[2]))
+		}
+	})
+	c := h.dial()
+	var all strings.Builder
+	var want []string
+	for i := range 200 { // above what is read ahead
+		key := "quick"
+		if i%10 == 0 {
+			key = "slow"
+		}
+		id := fmt.Sprintf("a%d", i)
+		all.WriteString(words("API.READ", key, id, "c=lookup,d=30000"))
+		want = append(want, "v"+id)
+	}
+	go io.WriteString(c, all.String())
+	for _, w := range want {
+		if got := c.line(); got != w && !strings.HasPrefix(got, "-BUSY") {
+			t.Fatalf("%q, want %q", got, w)
+		}
+	}
+	held := words("API.READ", "slow", "same", "c=lookup,d=500")
+	io.WriteString(c, held)
+	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	h.want("the same id", h.say(held), "-ERR a command with this id is in hand")
+	h.want("the first", c.line(), "vsame")
+	h.want("the id again", h.say(held), "vsame")
+}
+
+// A nack names a time to come back and is given at once where there is no unit to wait for.
+func TestPlatformNack(t *testing.T) {
+	h := newSite(t, func(s *settings.Edge) { s.Units.Total, s.Units.Connections = 1, 1 })
+	h.serve(1, 1, says("-BUSY\r\n"))
+	text, _ := cmd("seal")
+	from := time.Now()
+	h.want("nack", h.say(text), "-BUSY 1500")
+	if took := time.Since(from); took > 400*time.Millisecond {
+		t.Errorf("after %v", took)
+	}
+}
+
+// A relay that leaves still takes who comes, answers all that it has taken, and ends each connection behind its answer.
+func TestPlatformLeaves(t *testing.T) {
+	h := newSite(t, nil)
+	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		for {
+			w, ok := u.words(br)
+			if !ok {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+			io.WriteString(c, value(w[2]))
+		}
+	})
+	idle, busy := h.dial(), h.dial()
+	text, id := cmd("seal")
+	io.WriteString(busy, text)
+	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	h.r.Leave()
+	for range 3 {
+		text, id := cmd("order")
+		late := h.dial()
+		io.WriteString(late, text)
+		h.want("one who comes late", late.line(), "v"+id)
+		h.want("and then", late.line(), "closed")
+	}
+	h.want("what was in hand", busy.line(), "v"+id)
+	h.want("and then", busy.line(), "closed")
+	h.l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := h.r.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	h.want("an idle one", idle.line(), "closed")
+}
+
+// A full house has room for whoever comes to be served: the longest idle goes, one with a command in hand never.
+func TestPlatformMakesRoom(t *testing.T) {
+	h := newSite(t, func(s *settings.Edge) { s.Clients.Connections = 5 })
+	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		w, _ := u.words(br)
+		time.Sleep(150 * time.Millisecond)
+		io.WriteString(c, value(w[2]))
+	})
+	busy := h.dial()
+	text, id := cmd("seal")
+	io.WriteString(busy, text)
+	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	var idle []*talk
+	for range 20 {
+		idle = append(idle, h.dial())
+		h.soon("it is taken", func() bool { n := h.r.Numbers(); return int(n.Clients) == len(idle)+1 && n.ClientConns <= 5 })
+	}
+	h.want("the longest idle", idle[0].line(), "closed")
+	h.want("the busy one", busy.line(), "v"+id)
+	if n := h.r.Numbers(); n.ClientsRefused != 0 {
+		t.Errorf("%d refused", n.ClientsRefused)
+	}
+}
+
+// A unit's number that comes back as another process gets connections of its own.
+func TestPlatformUnitComesBack(t *testing.T) {
+	h := newSite(t, nil)
+	u := h.serve(1, 1, echo)
+	for start := range 3 {
+		h.list(false, roster.Unit{ID: 1, Addr: u.l.Addr().String(), State: "ready", Build: 1, Start: float64(start)})
+		for range 3 {
+			text, id := cmd("seal")
+			h.want("served", h.say(text), "v"+id)
+		}
+	}
+	if n := h.r.Numbers(); n.Dials != 3 || n.UnitConns != 1 {
+		t.Errorf("%d dials, %d connections", n.Dials, n.UnitConns)
+	}
+}
+
+// Ids, keys, units and connections are ever new; nothing of them is kept.
+func TestPlatformKeepsNothing(t *testing.T) {
+	h := newSite(t, nil)
+	for i := range 30 {
+		u := h.serve(uint32(i+1), i, echo)
+		for range 10 {
+			text, id := cmd("lookup")
+			if got := h.say(text); got != "v"+id && !strings.HasPrefix(got, "-BUSY") {
+				t.Fatal(got)
+			}
+		}
+		h.list(true, roster.Unit{ID: uint32(i + 1), Addr: u.l.Addr().String(), State: "ready", Build: i})
+	}
+	h.soon("nothing is kept", func() bool {
+		h.r.mu.Lock()
+		defer h.r.mu.Unlock()
+		return len(h.r.ids) == 0 && len(h.r.clients) == 0 && len(h.r.dues) == 0 && len(h.r.pools) <= 2 && len(h.r.units) <= 20
+	})
+}
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -39,6 +39,8 @@
 	id     uint32
 	addr   string
 	listed bool
+	build  int
+	start  float64
 	zone   uint16
 	cell   uint16
 	idle   []*unitConn // the longest idle first; the latest is used first
@@ -73,15 +75,15 @@
 		}
 		return
 	}
-	if p != nil && p.addr != u.Addr {
-		p.listed = false // what is out on the earlier address ends, and its connection with it
+	if p != nil && (p.addr != u.Addr || p.build != u.Build || p.start != u.Start) {
+		p.listed = false // another process; what is out at the earlier one ends, and its connection with it
 		for len(p.idle) > 0 {
 			r.drop(p.idle[0], a)
 		}
 		p = nil
 	}
 	if p == nil {
-		p = &pool{id: u.ID, addr: u.Addr}
+		p = &pool{id: u.ID, addr: u.Addr, build: u.Build, start: u.Start}
 		r.pools[u.ID] = p
 	}
 	p.listed, p.zone, p.cell = true, u.Zone, u.Cell
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	MostValue = 64 << 10  // bytes of one value
-	mostArgs  = 8         // of one command
-	mostLine  = 1 << 10   // bytes of a line
-	mostDigit = 10        // of a length
-	mostAll   = 160 << 10 // bytes of one message
-	chunk     = 4 << 10   // by which room grows as bytes come
+	MostValue  = 64 << 10  // bytes of one value in a command
+	MostAnswer = 1 << 20   // and in a unit's answer: they give far larger ones than they take
+	mostArgs   = 8         // of one command
+	mostLine   = 1 << 10   // bytes of a line
+	mostDigit  = 10        // of a length
+	mostAll    = 160 << 10 // bytes of one command
+	chunk      = 4 << 10   // the least by which room grows as bytes come
 )
 
 // Malformed says what is wrong with a message. The bytes behind it mean nothing any more.
@@ -84,7 +85,7 @@
 	value := make([]byte, 0, min(n, chunk))
 	for len(value) < n {
 		at := len(value)
-		value = append(value, make([]byte, min(n-at, chunk))...)
+		value = append(value, make([]byte, min(n-at, max(chunk, at)))...)
 		for at < len(value) {
 			m, err := br.Read(value[at:])
 			if err != nil {
@@ -168,7 +169,7 @@
 			if err := mark(br, '$'); err != nil {
 				return Reply{}, err
 			}
-			if r.Values[i], err = bulk(br, min(MostValue, mostAll-all)); err != nil {
+			if r.Values[i], err = bulk(br, MostAnswer-all); err != nil {
 				return Reply{}, err
 			}
 			all += len(r.Values[i])
