--- a/node/node.go
+++ b/node/node.go
@@ -36,7 +36,7 @@
 	silence    = 5.0    // s of discovery's: an empty line is due every 2 s
 	backLeast  = 0.05   // s
 	backMost   = 1.0
-	joinTime   = 1.0 // s that the list's old address is still followed after a new one is told
+	joinTime   = 1.5 // s that the list's old address is still followed where a new one says nothing
 
 	forClients = 0.55 // of the descriptors
 	forUnits   = 0.3
@@ -57,6 +57,7 @@
 	list    roster.List
 	from    string // discovery's address
 	feed    int    // the follower whose objects count; earlier ones may still add changes
+	joined  int    // the newest that was told something
 	running sync.WaitGroup
 
 	feeds     context.Context // of what is followed; it outlasts the listener
@@ -141,7 +142,17 @@
 	me, from := n.feed, n.from
 	n.mu.Unlock()
 	mine, stop := context.WithCancel(n.feeds)
-	source := stream.Source{Silence: silence, Least: backLeast, Most: backMost, Log: n.log, Client: n.http, Alive: n.relay.Unchanged,
+	heard := func() (old bool) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.joined = max(n.joined, me)
+		return n.feed != me
+	}
+	source := stream.Source{Silence: silence, Least: backLeast, Most: backMost, Log: n.log, Client: n.http,
+		Alive: func() {
+			heard()
+			n.relay.Unchanged()
+		},
 		Next: func() string {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -152,10 +163,7 @@
 			if err := o.Check(); err != nil {
 				return err
 			}
-			n.mu.Lock()
-			old := n.feed != me
-			n.mu.Unlock()
-			if old && o.Whole {
+			if heard() && o.Whole {
 				return nil // the newer follower's whole list counts
 			}
 			return n.object(o)
@@ -163,7 +171,8 @@
 	})
 	n.running.Go(func() {
 		defer stop()
-		tick := time.NewTicker(100 * time.Millisecond)
+		const step = 0.1
+		tick := time.NewTicker(time.Duration(step * float64(time.Second)))
 		defer tick.Stop()
 		for left := joinTime; left > 0; {
 			select {
@@ -173,7 +182,10 @@
 			}
 			n.mu.Lock()
 			if n.feed != me {
-				left -= 0.1
+				left -= step
+			}
+			if n.joined > me {
+				left = 0
 			}
 			n.mu.Unlock()
 		}
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -437,6 +437,24 @@
 	}
 }
 
+// A connection that has been idle for too long is not used, also where the sweep has not come to it yet: its unit closes it, and
+// what is written to it may have run.
+func TestPlatformIdleTooLong(t *testing.T) {
+	h := newSite(t, func(s *settings.Edge) { s.Units.IdleTime = 0.2 })
+	h.serve(1, 1, echo)
+	h.r.mu.Lock()
+	h.r.sweepAt = h.r.Now() + 1000
+	h.r.mu.Unlock()
+	for i, pause := range []time.Duration{0, 10 * time.Millisecond, 300 * time.Millisecond} {
+		time.Sleep(pause)
+		text, id := cmd("seal")
+		h.want("served", h.say(text), "v"+id)
+		if n := h.r.Numbers(); n.Dials != uint64(1+i/2) {
+			t.Errorf("%d dials after a pause of %v", n.Dials, pause)
+		}
+	}
+}
+
 // Ids, keys, units and connections are ever new; nothing of them is kept.
 func TestPlatformKeepsNothing(t *testing.T) {
 	h := newSite(t, nil)
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -136,9 +136,10 @@
 	if p == nil {
 		return false
 	}
+	lim := &r.now.Load().Doc.Units
 	for n := len(p.idle); n > 0; n = len(p.idle) {
 		uc := p.idle[n-1]
-		if uc.spoken() { // its reader has not come to it yet
+		if d.at-uc.since > lim.IdleTime || uc.spoken() { // the sweep, or its reader, has not come to it yet
 			r.drop(uc, a)
 			continue
 		}
@@ -148,7 +149,6 @@
 		a.sends = append(a.sends, d)
 		return true
 	}
-	lim := &r.now.Load().Doc.Units
 	if p.conns >= lim.Connections || lim.Total > 0 && len(r.units) >= lim.Total && !r.dropIdlest(a) {
 		return false
 	}
