Relay: half a command on a connection that is to make room gets 50 ms, not its whole time

Observed: TestPlatformBadClients failed under -race: a usual client was nacked behind 200 silent and half-spoken ones. Its command lay in the kernel above 300 ms: each accept waited 20 ms for those that were going. To blame: plat.serve gave a connection that was told to go the whole read time, 2.3 s, once half a command had been read on it. Checked: the test passes under -race, with those of making room and of a command that crosses it.

--- a/relay/platform.go
+++ b/relay/platform.go
@@ -22,9 +22,11 @@
 type plat struct{}
 
 const (
-	cmdRead  = "API.READ"  // of redeliverable op types
-	cmdWrite = "API.WRITE" // of the others, with a body
-	mostName = 256         // bytes of an id, of a key, of a list of names and values
+	cmdRead   = "API.READ"  // of redeliverable op types
+	cmdWrite  = "API.WRITE" // of the others, with a body
+	goingTime = 0.05        // s in which a command must have come whole on a connection that is to make room
+
+	mostName = 256 // bytes of an id, of a key, of a list of names and values
 )
 
 func (plat) nacked(_ *version.Version, pause float64) answer {
@@ -182,7 +184,11 @@
 		waited := cl.lay()
 		r.mu.Lock()
 		cl.reading = true // a drain lets it come
-		cl.sock.SetReadDeadline(time.Now().Add(span(lim.ReadTime)))
+		most := lim.ReadTime
+		if cl.going { // half a command must not keep the room that others wait for
+			most = min(most, goingTime)
+		}
+		cl.sock.SetReadDeadline(time.Now().Add(span(most)))
 		r.mu.Unlock()
 		args, err := resp.Command(br)
 		if err != nil {
