--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
+	"flintspread/shed"
 	"flintspread/stream"
 )
 
@@ -38,11 +39,7 @@
 	backMost   = 1.0
 	joinTime   = 1.5 // s that the list's old address is still followed where a new one says nothing
 
-	forClients = 0.55    // of the descriptors
-	keepIdle   = 1.0 / 6 // from which on the longest idle goes for each that comes: clients hold a third at most
-	forUnits   = 0.3
-	forHeap    = 0.6 // of the memory
-	forBuffers = 0.2
+	forClients = 0.55 // of the descriptors
 )
 
 // Node is one relay.
@@ -68,16 +65,14 @@
 // New makes a relay of what it was told.
 func New(t *Told, log *slog.Logger) *Node {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(t.Cores))))
-	debug.SetMemoryLimit(int64(forHeap * float64(t.Memory)))
+	parts := shed.Part(t.Sockets, t.Memory)
+	debug.SetMemoryLimit(parts.Heap)
 	terms := t.Terms
 	terms.Forget, terms.Keys = forget, keysKept
 	terms.Streams = 1 // whatever units allow, this relay has one delivery out on a connection
-	units := int(forUnits * float64(t.Sockets))
 	set := settings.Given(t.Name, terms, t.Ops,
-		settings.Clients{Connections: int(forClients * float64(t.Sockets)), ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin, Evict: true,
-			Keep: int(keepIdle * float64(t.Sockets))},
-		settings.Units{Connections: units, Total: units, DialTime: t.Dial, IdleTime: terms.ConnIdle * 0.8},
-		int64(forBuffers*float64(t.Memory)))
+		settings.Clients{Connections: parts.Clients, Keep: parts.Keep, ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin},
+		settings.Units{Connections: parts.Units, Total: parts.Units, DialTime: t.Dial, IdleTime: terms.ConnIdle * 0.8}, parts.Buffers)
 	n := &Node{told: t, log: log, from: t.Discovery, names: catalog.Names{Kept: 2 * forget},
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
 	n.feeds, n.stopFeeds = context.WithCancel(context.Background())
--- a/relay/client.go
+++ b/relay/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"flintspread/policy"
+	"flintspread/shed"
 )
 
 // client is one client's connection. Its goroutine reads; the answer is written by whoever has it.
@@ -52,18 +53,15 @@
 		cl := &client{r: r, sock: newSocket(nc), done: make(chan struct{}, 1), who: whoIs(nc.RemoteAddr().String()), since: r.Now()}
 		noRoom := r.mem.full(connBytes)
 		r.mu.Lock()
-		for try := 0; r.crammed() && try < 20; try++ { // who is to make room has not gone yet
+		lim := &r.now.Load().Doc.Clients
+		crammed := func() bool { return lim.Keep > 0 && shed.Crammed(len(r.clients), lim.Connections) }
+		for try := 0; crammed() && try < 20; try++ { // who is to make room has not gone yet
 			r.mu.Unlock()
 			time.Sleep(time.Millisecond)
 			r.mu.Lock()
 		}
-		lim := &r.now.Load().Doc.Clients
-		full := noRoom || r.crammed()
-		if lim.Evict && len(r.clients) >= min(lim.Connections, lim.Keep) {
-			full = full || !r.evict() && len(r.clients) >= lim.Connections
-		} else {
-			full = full || len(r.clients) >= lim.Connections
-		}
+		over := lim.Keep > 0 && len(r.clients) >= lim.Keep
+		full := noRoom || crammed() || !(over && r.evict()) && len(r.clients) >= lim.Connections
 		if full {
 			r.count.ClientsRefused++
 			if noRoom {
@@ -95,44 +93,16 @@
 	}
 }
 
-// crammed tells whether even the room for those that are just going is used up: without a bound descriptors would run out, and
-// units could not be reached either. Under the lock.
-func (r *Relay) crammed() bool {
-	lim := &r.now.Load().Doc.Clients
-	return lim.Evict && len(r.clients) >= lim.Connections+max(2, lim.Connections/8)
-}
-
-const speakSoon = 0.3 // s after connecting in which a client is about to send its first command
-
-// evict has a connection go that is idle: of those that never sent a command though they had time to, then of the others, the one that
-// is idle longest; then one that has just come, last one whose first command is still on its way. Its reader closes it: what it has
-// begun to read meanwhile is served. Under the lock.
+// evict has a connection make room for another, by the shedding module's order. Its reader closes it: what it has begun to read
+// meanwhile is served. Under the lock.
 func (r *Relay) evict() bool {
 	now := r.Now()
-	rank := func(cl *client) int {
-		switch {
-		case cl.reading:
-			return 3
-		case cl.spoke:
-			return 1
-		case now-cl.since < speakSoon:
-			return 2
-		}
-		return 0
-	}
 	var first *client
-	sooner := func(a, b *client) bool {
-		if i, j := rank(a), rank(b); i != j {
-			return i < j
-		}
-		return a.since < b.since
-	}
+	var as shed.Guest
 	for cl := range r.clients {
-		if cl.open > 0 || cl.going || cl.reading && cl.spoke {
-			continue
-		}
-		if first == nil || sooner(cl, first) && !cl.sock.unread() {
-			first = cl
+		g := shed.Guest{Busy: cl.open > 0, Reading: cl.reading, Spoke: cl.spoke, Since: cl.since}
+		if !cl.going && !g.Stays() && (first == nil || g.Sooner(now, as)) && !cl.sock.unread() {
+			first, as = cl, g
 		}
 	}
 	if first == nil {
--- a/relay/owes.go
+++ b/relay/owes.go
@@ -3,11 +3,8 @@
 import (
 	"sync"
 	"time"
-)
 
-const (
-	askAhead  = 64        // answers owed to a client, above which nothing more is read from it
-	slowBytes = 256 << 10 // bytes that it has not taken, above which neither
+	"flintspread/shed"
 )
 
 // owed is an answer's place in its client's order.
@@ -38,7 +35,7 @@
 func (o *owes) state() (clear, room, dead bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.line) == 0 && len(o.out) == 0 && !o.writing, len(o.line) < askAhead && len(o.out) < slowBytes, o.dead
+	return len(o.line) == 0 && len(o.out) == 0 && !o.writing, shed.Ahead(len(o.line), len(o.out)), o.dead
 }
 
 // settle gives an answer, and writes what is due by that, without waiting; what the kernel does not take at once goes on by
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -15,6 +15,7 @@
 
 	"flintspread/policy"
 	"flintspread/resp"
+	"flintspread/shed"
 	"flintspread/version"
 )
 
@@ -184,11 +185,7 @@
 		waited := cl.lay()
 		r.mu.Lock()
 		cl.reading = true // a drain lets it come
-		most := lim.ReadTime
-		if cl.going { // half a command must not keep the room that others wait for
-			most = min(most, goingTime)
-		}
-		cl.sock.SetReadDeadline(time.Now().Add(span(most)))
+		cl.sock.SetReadDeadline(time.Now().Add(span(shed.Patience(lim.ReadTime, cl.going))))
 		r.mu.Unlock()
 		args, err := resp.Command(br)
 		if err != nil {
--- a/settings/edge.go
+++ b/settings/edge.go
@@ -77,8 +77,7 @@
 	ReadTime    float64 `edn:"read-time" validate:"gt=0"` // s that a command may take to arrive
 	IdleTime    float64 `edn:"idle-time" validate:"gt=0"`
 	DrainTime   float64 `edn:"drain-time" validate:"gt=0"` // s that a stop waits for what is in hand
-	Evict       bool    `edn:"-"`                          // above Keep, the one that is idle longest goes for each that comes
-	Keep        int     `edn:"-"`
+	Keep        int     `edn:"-"`                          // above it an idle one goes for each that comes, 0: none does
 }
 
 // Units bounds the connections to each unit.
--- /dev/null
+++ b/shed/room.go
@@ -0,0 +1,76 @@
+package shed
+
+// How a small machine's limits are parted, and which client's connection makes room for another.
+
+const (
+	forClients = 0.55    // of the descriptors
+	forUnits   = 0.3     // the rest is for the listener, the services, and what is just closing
+	keepIdle   = 1.0 / 6 // from which on one goes for each that comes: clients hold a third for commands at most
+	forHeap    = 0.6     // of the memory
+	forBuffers = 0.2
+
+	speakSoon = 0.3  // s after connecting in which a client is about to send its first command
+	goingTime = 0.05 // s in which a command must have come whole on a connection that is to make room
+	askAhead  = 64   // answers owed to a client, above which nothing more is read from it
+	untaken   = 256 << 10
+)
+
+// Parts is what a machine's limits come to.
+type Parts struct {
+	Clients, Keep, Units int   // connections; Keep: of clients, from which idle ones go
+	Heap, Buffers        int64 // bytes
+}
+
+// Part shares out descriptors and bytes.
+func Part(descriptors int, memory int64) Parts {
+	of := func(share float64) int { return int(share * float64(descriptors)) }
+	return Parts{of(forClients), of(keepIdle), of(forUnits), int64(forHeap * float64(memory)), int64(forBuffers * float64(memory))}
+}
+
+// Crammed tells whether even the room for connections that are just going is used up: without a bound descriptors would run out,
+// and units could not be reached either.
+func Crammed(connections, most int) bool { return connections >= most+max(2, most/8) }
+
+// Guest is a client's connection, as far as its place matters.
+type Guest struct {
+	Busy    bool    // it has a command in hand
+	Reading bool    // a command is on its way
+	Spoke   bool    // one came before
+	Since   float64 // idle since, s
+}
+
+// Sooner tells whether a connection is to make room before another: first those that never sent a command though they had time
+// to, then idle ones, the longest idle ahead; then one that has just come, last one whose first command is on its way.
+func (g Guest) Sooner(now float64, than Guest) bool {
+	if a, b := g.rank(now), than.rank(now); a != b {
+		return a < b
+	}
+	return g.Since < than.Since
+}
+
+// Stays tells whether a connection never makes room.
+func (g Guest) Stays() bool { return g.Busy || g.Reading && g.Spoke }
+
+func (g Guest) rank(now float64) int {
+	switch {
+	case g.Reading:
+		return 3
+	case g.Spoke:
+		return 1
+	case now-g.Since < speakSoon:
+		return 2
+	}
+	return 0
+}
+
+// Patience is how long a command may take to come on a connection, s, where most is usual: half a one must not keep the room that
+// others wait for.
+func Patience(most float64, going bool) float64 {
+	if going {
+		return min(most, goingTime)
+	}
+	return most
+}
+
+// Ahead tells whether a client to whom so many answers are owed, and which has not taken so many bytes, may send further commands.
+func Ahead(owed, bytes int) bool { return owed < askAhead && bytes < untaken }
