Tests: one accept loop, one way to ask; discovery's entries are checked by the list's own check

Change: standin.Serve and Desk carry the loops, the relay's tests share their hall and scripts; catalog leaves to roster what roster checks; a known list that is refused at the start is logged; how far below the units' idle time this side stays is decided in shed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net"
 
 	"flintspread/roster"
 )
@@ -30,9 +29,7 @@
 }
 
 const (
-	mostHosts = 10_000
-	mostName  = 256
-	mostBuild = 1 << 16
+	mostName = 256
 )
 
 var states = map[string]string{"SERVING": "ready", "DRAINING": "draining", "DELETED": "gone"}
@@ -46,11 +43,8 @@
 	return o, o.Check()
 }
 
-// Check finds an entry that can't be meant.
+// Check finds an entry that can't be meant: what its form alone shows, the rest is the list's own check.
 func (o *Object) Check() error {
-	if len(o.Hosts) > mostHosts {
-		return fmt.Errorf("%d hosts; %d at most", len(o.Hosts), mostHosts)
-	}
 	seen := make(map[string]bool, len(o.Hosts))
 	for i, e := range o.Hosts {
 		what := ""
@@ -61,15 +55,11 @@
 			what = "named twice"
 		case states[e.Health] == "":
 			what = fmt.Sprintf("unknown health %.32q", e.Health)
-		case !(e.Image >= 0 && e.Image < mostBuild) || e.Image != math.Trunc(e.Image):
-			what = fmt.Sprintf("image_id %v", e.Image)
-		case !(e.Share >= 0) || !(e.BornMS >= 0):
-			what = "share or born_ms below 0"
-		case e.Block != math.Trunc(e.Block) || e.Block < 0 || e.Block > 65534:
-			what = fmt.Sprintf("block %v", e.Block)
-		case e.Health != "DELETED":
-			if _, _, err := net.SplitHostPort(e.Dial); err != nil {
-				what = fmt.Sprintf("dial %.64q is no HOST:PORT", e.Dial)
+		case e.Image != math.Trunc(e.Image) || e.Block != math.Trunc(e.Block) || !(e.Block >= 0 && e.Block < math.MaxUint16):
+			what = fmt.Sprintf("image_id %v, block %v", e.Image, e.Block)
+		default:
+			if err := (&roster.Line{Units: []roster.Unit{e.unit(1, 0)}}).Check(); err != nil {
+				what = err.Error()
 			}
 		}
 		if what != "" {
@@ -80,6 +70,15 @@
 	return nil
 }
 
+// unit words an entry by the numbers that the module knows it and its site by.
+func (e *Entry) unit(id uint32, zone uint16) roster.Unit {
+	u := roster.Unit{ID: id, State: states[e.Health], Build: int(e.Image), Heft: e.Share, Start: e.BornMS / 1000, Zone: zone, Cell: uint16(e.Block) + 1}
+	if u.State != "gone" {
+		u.Addr = e.Dial
+	}
+	return u
+}
+
 // Names gives hosts and sites the numbers that the module knows them by. A host keeps its number for as long as it is listed
 // and Kept s more; then its name is forgotten, and a number is never another's.
 type Names struct {
@@ -126,19 +125,13 @@
 			n.hosts[e.Host] = x
 		}
 		x.left = 0
-		u := roster.Unit{ID: x.id, State: states[e.Health], Build: int(e.Image), Heft: e.Share, Start: e.BornMS / 1000, Cell: uint16(e.Block) + 1}
-		if u.State == "gone" {
-			x.left = now
-		} else {
-			u.Addr = e.Dial
+		if _, known := n.sites[e.Site]; !known && e.Site != "" && len(n.sites) < math.MaxUint16 {
+			n.sites[e.Site] = uint16(len(n.sites) + 1)
 		}
-		if e.Site != "" {
-			if _, known := n.sites[e.Site]; !known && len(n.sites) < math.MaxUint16 {
-				n.sites[e.Site] = uint16(len(n.sites) + 1)
-			}
-			u.Zone = n.sites[e.Site]
+		if states[e.Health] == "gone" {
+			x.left = now
 		}
-		line.Units = append(line.Units, u)
+		line.Units = append(line.Units, e.unit(x.id, n.sites[e.Site]))
 	}
 	for host, x := range n.hosts {
 		if x.left > 0 && now-x.left > n.Kept {
--- a/node/node.go
+++ b/node/node.go
@@ -72,7 +72,7 @@
 	terms.Streams = 1 // whatever units allow, this relay has one delivery out on a connection
 	set := settings.Given(t.Name, terms, t.Ops,
 		settings.Clients{Connections: parts.Clients, Keep: parts.Keep, ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin},
-		settings.Units{Connections: parts.Units, Total: parts.Units, DialTime: t.Dial, IdleTime: terms.ConnIdle * 0.8}, parts.Buffers)
+		settings.Units{Connections: parts.Units, Total: parts.Units, DialTime: t.Dial, IdleTime: shed.IdleTime(terms.ConnIdle)}, parts.Buffers)
 	n := &Node{told: t, log: log, from: t.Discovery, names: catalog.Names{Kept: 2 * forget},
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
 	n.feeds, n.stopFeeds = context.WithCancel(context.Background())
@@ -84,7 +84,9 @@
 		n.news(*t.News)
 	}
 	if t.Known != nil {
-		n.object(t.Known)
+		if err := n.object(t.Known); err != nil {
+			log.Error("known list", "error", err) // discovery tells it anew
+		}
 	}
 	return n
 }
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -22,6 +22,7 @@
 	"flintspread/policy"
 	"flintspread/roster"
 	"flintspread/settings"
+	"flintspread/standin"
 )
 
 // The benchmarks' clients and units parse as little as they can and allocate nothing, so that what is measured is what
@@ -31,28 +32,18 @@
 
 // quickUnit answers each request without a body at once.
 func quickUnit(b *testing.B) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := standin.Serve(func(c net.Conn) {
+		br := bufio.NewReaderSize(c, 4096)
+		for skipHead(br) >= 0 {
+			if _, err := c.Write(plainAnswer); err != nil {
+				return
+			}
+		}
+	})
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				br := bufio.NewReaderSize(c, 4096)
-				for skipHead(br) >= 0 {
-					if _, err := c.Write(plainAnswer); err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
 	return l
 }
 
--- a/relay/helper_test.go
+++ b/relay/helper_test.go
@@ -16,6 +16,7 @@
 	"flintspread/release"
 	"flintspread/roster"
 	"flintspread/settings"
+	"flintspread/standin"
 )
 
 // hall is a relay between scripted units and clients of a test.
@@ -52,8 +53,15 @@
 			t.Fatal(err)
 		}
 	}
-	h := &hall{t: t, r: New(set, 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(release.Vote) {}), unit: map[uint32]*unitScript{},
-		done: make(chan error, 1)}
+	return startHall(t, New(set, 1, quiet(), func(release.Vote) {}))
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// startHall has a relay listen until the test ends.
+func startHall(t testing.TB, r *Relay) *hall {
+	h := &hall{t: t, r: r, unit: map[uint32]*unitScript{}, done: make(chan error, 1)}
+	var err error
 	if h.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
@@ -70,24 +78,13 @@
 
 // serve makes a unit that runs play for each connection, and lists all units there are as ready.
 func (h *hall) serve(id uint32, build int, play func(u *unitScript, c net.Conn, br *bufio.Reader)) *unitScript {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	u := &unitScript{id: id}
+	l, err := standin.Serve(func(c net.Conn) { play(u, c, bufio.NewReader(c)) })
 	if err != nil {
 		h.t.Fatal(err)
 	}
-	u := &unitScript{id: id, l: l}
+	u.l = l
 	h.unit[id] = u
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				play(u, c, bufio.NewReader(c))
-			}()
-		}
-	}()
 	h.list(false, roster.Unit{ID: id, Addr: l.Addr().String(), State: "ready", Build: build})
 	return u
 }
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"strconv"
 	"strings"
@@ -35,21 +34,7 @@
 		edit(set)
 	}
 	set.Clients.Keep = set.Clients.Connections
-	h := &hall{t: t, r: NewPlatform(set, 1, slog.New(slog.NewTextHandler(io.Discard, nil)), func(release.Vote) {}),
-		unit: map[uint32]*unitScript{}, done: make(chan error, 1)}
-	var err error
-	if h.l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		t.Fatal(err)
-	}
-	go func() { h.done <- h.r.Serve(h.l) }()
-	t.Cleanup(func() {
-		h.l.Close()
-		for _, u := range h.unit {
-			u.l.Close()
-		}
-		h.r.Close()
-	})
-	return h
+	return startHall(t, NewPlatform(set, 1, quiet(), func(release.Vote) {}))
 }
 
 // words takes one delivery and notes it.
@@ -71,25 +56,23 @@
 // value is a unit's answer with a value made of the delivery's id.
 func value(id string) string { return fmt.Sprintf("*3\r\n$%d\r\nv%s\r\n$-1\r\n$-1\r\n", len(id)+1, id) }
 
-func echo(u *unitScript, c net.Conn, br *bufio.Reader) {
-	for {
-		w, ok := u.words(br)
-		if !ok {
-			return
+func echo(u *unitScript, c net.Conn, br *bufio.Reader) { after(0)(u, c, br) }
+
+// after answers every delivery well, so late.
+func after(late time.Duration) func(*unitScript, net.Conn, *bufio.Reader) {
+	return func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		for w, ok := u.words(br); ok; w, ok = u.words(br) {
+			time.Sleep(late)
+			io.WriteString(c, value(w[2]))
 		}
-		io.WriteString(c, value(w[2]))
 	}
 }
 
-// says answers every delivery with a text, in which ID stands for its id.
+// says answers every delivery with a text.
 func says(text string) func(*unitScript, net.Conn, *bufio.Reader) {
 	return func(u *unitScript, c net.Conn, br *bufio.Reader) {
-		for {
-			w, ok := u.words(br)
-			if !ok {
-				return
-			}
-			io.WriteString(c, strings.ReplaceAll(text, "VALUE", value(w[2])))
+		for _, ok := u.words(br); ok; _, ok = u.words(br) {
+			io.WriteString(c, text)
 		}
 	}
 }
@@ -141,6 +124,25 @@
 	return c.line()
 }
 
+// asks sends a command of a class and wants its value.
+func (c *talk) asks(class string) {
+	c.t.Helper()
+	text, id := cmd(class)
+	io.WriteString(c, text)
+	if got := c.line(); got != "v"+id {
+		c.t.Errorf("%s: %q, want %q", class, got, "v"+id)
+	}
+}
+
+// busy is a connection with a command in hand.
+func (h *hall) busy() (c *talk, id string) {
+	text, id := cmd("seal")
+	c = h.dial()
+	io.WriteString(c, text)
+	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	return c, id
+}
+
 // What units get of a command is what its client sent, but for d.
 func TestPlatformOrdinaryPath(t *testing.T) {
 	h := newSite(t, nil)
@@ -246,11 +248,7 @@
 	for _, late := range []time.Duration{0, 3 * time.Millisecond} {
 		h := newSite(t, nil)
 		u := h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
-			for {
-				w, ok := u.words(br)
-				if !ok {
-					return
-				}
+			for w, ok := u.words(br); ok; w, ok = u.words(br) {
 				io.WriteString(c, value(w[2]))
 				time.Sleep(late)
 				io.WriteString(c, value(w[2]))
@@ -258,9 +256,7 @@
 		})
 		c := h.dial()
 		for range 20 {
-			text, id := cmd("seal")
-			io.WriteString(c, text)
-			h.want("served", c.line(), "v"+id)
+			c.asks("seal")
 			time.Sleep(2 * late) // the second copy is there by then, whether its reader has run or not
 		}
 		if u.count() != 20 {
@@ -313,11 +309,7 @@
 func TestPlatformAskAhead(t *testing.T) {
 	h := newSite(t, nil)
 	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
-		for {
-			w, ok := u.words(br)
-			if !ok {
-				return
-			}
+		for w, ok := u.words(br); ok; w, ok = u.words(br) {
 			if w[1] == "slow" {
 				time.Sleep(60 * time.Millisecond)
 			}
@@ -365,26 +357,13 @@
 // A relay that leaves still takes who comes, answers all that it has taken, and ends each connection behind its answer.
 func TestPlatformLeaves(t *testing.T) {
 	h := newSite(t, nil)
-	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
-		for {
-			w, ok := u.words(br)
-			if !ok {
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-			io.WriteString(c, value(w[2]))
-		}
-	})
-	idle, busy := h.dial(), h.dial()
-	text, id := cmd("seal")
-	io.WriteString(busy, text)
-	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	h.serve(1, 1, after(50*time.Millisecond))
+	idle := h.dial()
+	busy, id := h.busy()
 	h.r.Leave()
 	for range 3 {
-		text, id := cmd("order")
 		late := h.dial()
-		io.WriteString(late, text)
-		h.want("one who comes late", late.line(), "v"+id)
+		late.asks("order")
 		h.want("and then", late.line(), "closed")
 	}
 	h.want("what was in hand", busy.line(), "v"+id)
@@ -401,15 +380,8 @@
 // A full house has room for whoever comes to be served: the longest idle goes, one with a command in hand never.
 func TestPlatformMakesRoom(t *testing.T) {
 	h := newSite(t, func(s *settings.Edge) { s.Clients.Connections = 5 })
-	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
-		w, _ := u.words(br)
-		time.Sleep(150 * time.Millisecond)
-		io.WriteString(c, value(w[2]))
-	})
-	busy := h.dial()
-	text, id := cmd("seal")
-	io.WriteString(busy, text)
-	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	h.serve(1, 1, after(150*time.Millisecond))
+	busy, id := h.busy()
 	var idle []*talk
 	for range 20 {
 		idle = append(idle, h.dial())
@@ -435,18 +407,13 @@
 		return c
 	}
 	for range 8 {
-		c := come()
-		text, id := cmd("lookup")
-		io.WriteString(c, text)
-		h.want("served", c.line(), "v"+id)
-		kept = append(kept, c)
+		kept = append(kept, come())
+		kept[len(kept)-1].asks("lookup")
 	}
 	for range 10 {
 		a, b, c := come(), come(), come()
 		for _, c := range []*talk{a, b, c} {
-			text, id := cmd("seal")
-			io.WriteString(c, text)
-			h.want("a newcomer", c.line(), "v"+id)
+			c.asks("seal")
 		}
 	}
 	h.want("the longest idle", kept[0].line(), "closed")
@@ -461,20 +428,8 @@
 // A command that crosses the relay's wish to make room is served, and then the connection ends.
 func TestPlatformCommandCrossesGoing(t *testing.T) {
 	h := newSite(t, nil)
-	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
-		for {
-			w, ok := u.words(br)
-			if !ok {
-				return
-			}
-			time.Sleep(100 * time.Millisecond)
-			io.WriteString(c, value(w[2]))
-		}
-	})
-	c := h.dial()
-	first, id1 := cmd("lookup")
-	io.WriteString(c, first)
-	h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+	h.serve(1, 1, after(100*time.Millisecond))
+	c, id := h.busy()
 	h.r.mu.Lock()
 	for cl := range h.r.clients {
 		cl.going = true
@@ -484,7 +439,7 @@
 	time.Sleep(20 * time.Millisecond) // its reader waits for the answer by now
 	second, id2 := cmd("lookup")
 	io.WriteString(c, second)
-	h.want("the first", c.line(), "v"+id1)
+	h.want("the first", c.line(), "v"+id)
 	h.want("the second", c.line(), "v"+id2)
 	h.want("and then", c.line(), "closed")
 }
--- a/shed/room.go
+++ b/shed/room.go
@@ -8,6 +8,7 @@
 	keepIdle   = 1.0 / 6 // from which on one goes for each that comes: clients hold a third for commands at most
 	forHeap    = 0.6     // of the memory
 	forBuffers = 0.2
+	below      = 0.8 // of the time after which units close an idle connection
 
 	speakSoon = 0.3  // s after connecting in which a client is about to send its first command
 	goingTime = 0.05 // s in which a command must have come whole on a connection that is to make room
@@ -27,6 +28,10 @@
 	return Parts{of(forClients), of(keepIdle), of(forUnits), int64(forHeap * float64(memory)), int64(forBuffers * float64(memory))}
 }
 
+// IdleTime is how long a connection to a unit may stand idle here, where the unit closes it after a time: what is written to it from
+// then on may have run.
+func IdleTime(theirs float64) float64 { return below * theirs }
+
 // Crammed tells whether even the room for connections that are just going is used up: without a bound descriptors would run out,
 // and units could not be reached either.
 func Crammed(connections, most int) bool { return connections >= most+max(2, most/8) }
