Relay: after SIGTERM clients are served until just before the kill

To blame: node.Run ended every connection behind its next answer from the signal on. Change: shed.Leave plans a stop by the longest command timeout; connections are kept and served until 0.6 s before the kill, what is taken meanwhile is answered 0.3 s before it.

--- a/node/node.go
+++ b/node/node.go
@@ -26,18 +26,16 @@
 	"flintspread/stream"
 )
 
-// What the platform's page gives, and how a relay's own limits are shared out.
+// What the platform's page gives.
 const (
-	comeOn     = 0.7    // s that new connections may go on coming after SIGTERM, with room
-	stopWithin = 3.6    // s from SIGTERM to the end
-	speakUp    = 2.3    // s in which a client must have sent something, and a command have come whole
-	idleTime   = 2.2    // s that a client's connection may be idle: the platform's clients may be closed on after 2
-	forget     = 60.0   // s after which a unit that left is forgotten
-	keysKept   = 50_000 // for one-way keys
-	silence    = 5.0    // s of discovery's: an empty line is due every 2 s
-	backLeast  = 0.05   // s
-	backMost   = 1.0
-	joinTime   = 1.5 // s that the list's old address is still followed where a new one says nothing
+	speakUp   = 2.3    // s in which a client must have sent something, and a command have come whole
+	idleTime  = 2.2    // s that a client's connection may be idle: the platform's clients may be closed on after 2
+	forget    = 60.0   // s after which a unit that left is forgotten
+	keysKept  = 50_000 // for one-way keys
+	silence   = 5.0    // s of discovery's: an empty line is due every 2 s
+	backLeast = 0.05   // s
+	backMost  = 1.0
+	joinTime  = 1.5 // s that the list's old address is still followed where a new one says nothing
 
 	forClients = 0.55 // of the descriptors
 )
@@ -58,6 +56,8 @@
 	joined  int    // the newest that was told something
 	running sync.WaitGroup
 
+	plan shed.Leaving
+
 	feeds     context.Context // of what is followed; it outlasts the listener
 	stopFeeds context.CancelFunc
 }
@@ -71,10 +71,15 @@
 	terms.Forget, terms.Keys = forget, keysKept
 	terms.Streams = 1 // whatever units allow, this relay has one delivery out on a connection
 	set := settings.Given(t.Name, terms, t.Ops,
-		settings.Clients{Connections: parts.Clients, Keep: parts.Keep, ReadTime: speakUp, IdleTime: idleTime, DrainTime: stopWithin},
+		settings.Clients{Connections: parts.Clients, Keep: parts.Keep, ReadTime: speakUp, IdleTime: idleTime},
 		settings.Units{Connections: parts.Units, Total: parts.Units, DialTime: t.Dial, IdleTime: shed.IdleTime(terms.ConnIdle)}, parts.Buffers)
 	n := &Node{told: t, log: log, from: t.Discovery, names: catalog.Names{Kept: 2 * forget},
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
+	longest := 0.0
+	for _, op := range terms.Ops {
+		longest = max(longest, op.Timeout)
+	}
+	n.plan = shed.Leave(longest)
 	n.feeds, n.stopFeeds = context.WithCancel(context.Background())
 	n.line = &platform.Line{Stages: len(terms.Stages), Timeout: terms.VoteTimeout, Log: log, News: n.news, Blamed: n.blamed,
 		Replied: func(_ release.Vote, reply policy.VoteReply) { n.relay.VoteAnswered(reply) }}
@@ -103,14 +108,17 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		// Others learn only now that this relay goes: until they have, it takes what comes.
 		n.log.Info("leaving", "relay", n.told.Name)
+		n.relay.AnswerBy(n.relay.Now() + n.plan.Answer)
+		closed := time.AfterFunc(span(n.plan.Listen), func() { l.Close() })
+		time.Sleep(span(n.plan.Serve))
 		n.relay.Leave()
-		time.Sleep(time.Duration(comeOn * float64(time.Second)))
+		time.Sleep(span(n.plan.Listen - n.plan.Serve))
+		closed.Stop()
 	case err = <-failed:
 	}
 	l.Close()
-	until, cancel := context.WithTimeout(context.Background(), time.Duration((stopWithin-comeOn)*float64(time.Second)))
+	until, cancel := context.WithTimeout(context.Background(), span(n.plan.End-max(n.plan.Serve, n.plan.Listen)))
 	defer cancel()
 	if late := n.relay.Drain(until); late != nil {
 		n.log.Error("drain", "error", late)
@@ -122,6 +130,8 @@
 	return err
 }
 
+func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
+
 // Move takes the addresses of a configuration that was replaced.
 func (n *Node) Move(t *Told) {
 	n.line.Move(t.Platform)
@@ -171,7 +181,7 @@
 	n.running.Go(func() {
 		defer stop()
 		const step = 0.1
-		tick := time.NewTicker(time.Duration(step * float64(time.Second)))
+		tick := time.NewTicker(span(step))
 		defer tick.Stop()
 		for left := joinTime; left > 0; {
 			select {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -19,6 +19,7 @@
 
 	"flintspread/audit"
 	"flintspread/catalog"
+	"flintspread/shed"
 	"flintspread/standin"
 )
 
@@ -147,6 +148,31 @@
 	t.Fatal("not within 30 s:", what)
 }
 
+// From the signal on clients are served on the connections that they have for as long as there is time to answer them; whatever was
+// taken is answered, silent units or not, and the end comes before the kill.
+func TestLeaves(t *testing.T) {
+	s := newSite(t, 0.2, 1, 1, 1)
+	discovery, desk, _ := s.serves(t, nil)
+	start(t, discovery, desk, 6, s)
+	soon(t, "traffic", func() bool { return s.n.relay.Numbers().Acked > 50 })
+	s.n.plan = shed.Leave(2) // as where clients wait longer than here
+	from := s.Clock()
+	s.end()
+	if took := s.Clock() - from; took < s.n.plan.Serve || took > s.n.plan.End+0.1 {
+		t.Errorf("%.2f s until the end, planned %+v", took, s.n.plan)
+	}
+	s.kept(2)
+	late := 0
+	for _, c := range s.Rec.Commands {
+		if c.Asked > from+s.n.plan.Listen && len(c.Answers) == 1 && c.Answers[0].Kind == "acked" {
+			late++
+		}
+	}
+	if late == 0 {
+		t.Error("nobody was served once the listener was closed")
+	}
+}
+
 // A malformed file is refused with file and key; at a reload nothing of it is taken.
 func TestConfig(t *testing.T) {
 	s := newSite(t, 0)
--- a/relay/client.go
+++ b/relay/client.go
@@ -277,6 +277,13 @@
 	cl.done <- struct{}{}
 }
 
+// AnswerBy has all that is taken from now on answered by a time, whatever its client would wait.
+func (r *Relay) AnswerBy(at float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answerBy = at
+}
+
 // Leave begins a stop while the listener goes on: clients are still served, and each connection ends once nothing is open on it.
 func (r *Relay) Leave() {
 	r.leaving.Store(true)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,6 +67,7 @@
 	units    map[*unitConn]struct{}
 	clients  map[*client]struct{}
 	draining bool
+	answerBy float64 // when all is to be answered, 0: no such time
 	listNo   uint64
 	listAt   float64 // when what the list says was true
 	count    Numbers
@@ -264,6 +265,9 @@
 		c.Due = min(c.Due, now+req.due)
 	}
 	c.Due -= req.waited
+	if r.answerBy > 0 {
+		c.Due = min(c.Due, r.answerBy)
+	}
 	if req.id != "" {
 		r.ids[req.id] = struct{}{}
 	}
