Node: the configuration is checked by tags; one type for a release's news

Need: node read its configuration with checks by hand where settings/ checks by a library, and platform held a second type beside release.News with the same five fields and the same check. Change: node.Parse checks by the fields' tags (settings.CheckJSON), errors name the key; platform gives release.News.

--- a/node/node.go
+++ b/node/node.go
@@ -86,7 +86,7 @@
 	n.line.Open(t.Platform)
 	n.relay = relay.NewPlatform(set, t.Seed, log, n.cast)
 	if t.News != nil {
-		n.news(*t.News)
+		n.news(t.News)
 	}
 	if t.Known != nil {
 		if err := n.object(t.Known); err != nil {
@@ -247,8 +247,8 @@
 	n.line.Cast(v)
 }
 
-func (n *Node) news(s platform.State) {
-	n.relay.Stage(s.Build, s.Stage, s.PhaseOf(), s.Cap, s.AgeMS/1000)
+func (n *Node) news(s *release.News) {
+	n.relay.Stage(s.Build, s.Stage, s.PhaseOf(), s.Cap, s.Age)
 }
 
 func (n *Node) blamed(unit string, age float64) {
--- a/settings/given.go
+++ b/settings/given.go
@@ -1,6 +1,12 @@
 package settings
 
 import (
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
 	"olympos.io/encoding/edn"
 
 	"flintspread/policy"
@@ -18,3 +24,19 @@
 	}
 	return &Edge{Relay: name, Name: name, Document: d, Overload: &Overload{Memory: memory}}
 }
+
+var jsonFields = func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("json") })
+	return v
+}()
+
+// CheckJSON checks what was read from JSON by its fields' tags, as files are. An error names the key by its path.
+func CheckJSON(v any) error {
+	err := jsonFields.Struct(v)
+	var bad validator.ValidationErrors
+	if errors.As(err, &bad) {
+		return fmt.Errorf("%s: %s", strings.TrimPrefix(bad[0].Namespace(), "."), complaint(bad[0]))
+	}
+	return err
+}
