Relay: a stop answers what is in hand in time, and a client's going is seen at any time

Its log at 9.358 s: 'drain error="4 commands and 4 connections left: context deadline exceeded"', then 'stopped'. Checked: all 63 lie in a stop; the commands were taken before SIGTERM, with up to 13 s to go (in-time p99); excluded: commands taken after it (answerBy bounds them), the listener (closed at 0.7 s, 0 resets). To blame: Relay.AnswerBy bounded only what came after the signal, and node.Run closed every connection at the plan's End. Change: AnswerBy holds for all in hand; the end comes once nothing is owed, or after the kill. A client's reader always waits for bytes or for the close (parking, hangUp), whoever owes wakes it. Held-back last byte, rest after an answer (shed.Rest), pools that drain take nothing; a left command's deliveries keep their ends. A newcomer in a drain keeps its first command. Tests: relay/owed_test.go. TestPlatformBytesTooMany relied on sleeps; now the unit's second copy is ordered by channels, as strict. TestPlatformCommandCrosses Going wakes the reader by the new call in place of a deadline.

--- a/relay/client.go
+++ b/relay/client.go
@@ -28,8 +28,9 @@
 	going   bool    // it is to make room
 	since   float64 // idle since
 
-	who  uint64 // its host
-	owes owes   // answers in order, where a client may ask ahead
+	who    uint64  // its host
+	owes   owes    // answers in order, where a client may ask ahead
+	parked parking // where its reader waits
 }
 
 func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
@@ -109,7 +110,7 @@
 		return false
 	}
 	first.going = true
-	first.sock.SetReadDeadline(time.Now())
+	r.speech.rouse(first)
 	return true
 }
 
@@ -153,6 +154,14 @@
 	}
 }
 
+// toEnd tells whether the connection is to end once nothing is open on it. One that came during a drain, when others could not
+// know of it yet, is still to bring its first command.
+func (cl *client) toEnd(first bool) bool {
+	cl.r.mu.Lock()
+	defer cl.r.mu.Unlock()
+	return cl.going || cl.r.draining && !first
+}
+
 // more tells whether a request lies unread in the kernel: a drain ends the wait for one by the clock, and what had come by
 // then is served.
 func (cl *client) more() bool {
@@ -277,19 +286,37 @@
 	cl.done <- struct{}{}
 }
 
-// AnswerBy has all that is taken from now on answered by a time, whatever its client would wait.
+// AnswerBy has all that is in hand, and all that is taken from now on, answered by a time, whatever its client would wait.
 func (r *Relay) AnswerBy(at float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answerBy = at
+	for _, c := range append(dues(nil), r.dues...) { // all in hand: each waits for something
+		if c.Ended || c.Due <= at {
+			continue
+		}
+		c.Due = at
+		for _, d := range c.outs {
+			d.until = min(d.until, at)
+		}
+		if c.again > at {
+			c.again = at
+		}
+		r.due(c)
+	}
 }
 
 // Leave begins a stop while the listener goes on: clients are still served, and each connection ends once nothing is open on it.
+// What has begun to come on one has until all is to be answered.
 func (r *Relay) Leave() {
-	r.leaving.Store(true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.draining = true
+	for cl := range r.clients {
+		if cl.open == 0 || cl.reading {
+			r.speech.rouse(cl)
+		}
+	}
 }
 
 // Drain stops taking commands and waits until those in hand have their answers, or ctx ends. The listener is to be
@@ -303,7 +330,7 @@
 		hands := r.hands
 		for cl := range r.clients {
 			if cl.open == 0 && !cl.reading {
-				cl.sock.SetReadDeadline(time.Now())
+				r.speech.rouse(cl)
 			}
 		}
 		clients := len(r.clients)
--- a/relay/memory.go
+++ b/relay/memory.go
@@ -55,13 +55,21 @@
 // full tells whether there is no room for so much more.
 func (m *memory) full(n int) bool { return m.budget > 0 && m.used.Load()+int64(n) > m.budget }
 
+// pause counts a reader that is held up while the budget is tight, and says for how long at most, s; 0: it is not.
+func (m *memory) pause() float64 {
+	most := shed.Pause(m.share())
+	if most > 0 {
+		m.paused.Add(1)
+	}
+	return most
+}
+
 // wait holds up a reader while the budget is tight: its client's bytes stay in the kernel, and its client's kernel stops sending.
 func (m *memory) wait(stop <-chan struct{}) {
-	most := shed.Pause(m.share())
+	most := m.pause()
 	if most == 0 {
 		return
 	}
-	m.paused.Add(1)
 	m.mu.Lock()
 	if m.freed == nil {
 		m.freed = make(chan struct{})
--- /dev/null
+++ b/relay/owed_test.go
@@ -0,0 +1,325 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"flintspread/policy"
+	"flintspread/roster"
+	"flintspread/settings"
+)
+
+// The instants in which something is still owed. Each is forced by the order of events: a unit or a client holds its next byte until the
+// other end is where the test wants it.
+
+// patient gives every op type so much time that no end of a test comes from it.
+func patient(t *policy.Terms) {
+	for i := range t.Ops {
+		t.Ops[i].Timeout, t.Ops[i].Target, t.Ops[i].Window = 60, 60, 100
+	}
+}
+
+// long words a command whose client waits for a minute.
+func long(c string) (text, id string) { return cmdFor(c, 60_000) }
+
+// gated is a unit that answers a delivery only once the gate is open.
+func gated(gate chan struct{}) func(*unitScript, net.Conn, *bufio.Reader) {
+	return func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		for w, ok := u.words(br); ok; w, ok = u.words(br) {
+			<-gate
+			io.WriteString(c, value(w[2]))
+		}
+	}
+}
+
+// fullUnit is a unit whose connections do not come up until the test lets them: what its kernel holds for it is full.
+type fullUnit struct {
+	*unitScript
+	fd   int
+	addr string
+	fill []net.Conn
+}
+
+func newFullUnit(t *testing.T) *fullUnit {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	}
+	if err == nil {
+		err = syscall.Listen(fd, 0)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &fullUnit{unitScript: &unitScript{}, fd: fd, addr: fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)}
+	for { // until one more does not come up
+		c, err := net.DialTimeout("tcp", u.addr, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		u.fill = append(u.fill, c)
+	}
+	t.Cleanup(func() {
+		for _, c := range u.fill {
+			c.Close()
+		}
+		syscall.Close(fd)
+	})
+	return u
+}
+
+// next accepts what has come up and gives the first connection that is not one of those that filled the place, or what ended the wait.
+func (u *fullUnit) next(t *testing.T) (said string) {
+	own := map[int]bool{}
+	for _, c := range u.fill {
+		own[c.LocalAddr().(*net.TCPAddr).Port] = true
+	}
+	for {
+		fd, from, err := syscall.Accept(u.fd)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if own[from.(*syscall.SockaddrInet4).Port] {
+			syscall.Close(fd)
+			continue
+		}
+		var buf [512]byte
+		n, err := syscall.Read(fd, buf[:])
+		syscall.Close(fd)
+		if err != nil {
+			return err.Error()
+		}
+		return string(buf[:max(0, n)])
+	}
+}
+
+// A stop answers what is in hand in time, however long its client would wait: the process is about to be killed.
+func TestOwedAtStop(t *testing.T) {
+	for class, want := range map[string]string{"lookup": "-BUSY 1500", "order": "-BUSY 1500", "seal": "-ERR failed; it may have been done"} {
+		h := newSiteOf(t, patient, nil)
+		gate := make(chan struct{})
+		defer close(gate)
+		h.serve(1, 1, gated(gate))
+		text, _ := long(class)
+		c := h.dial()
+		io.WriteString(c, text)
+		h.soon("in hand", func() bool { return h.r.Numbers().Deliveries == 1 })
+		h.r.AnswerBy(h.r.Now() + 0.2)
+		h.want(class, c.line(), want)
+	}
+}
+
+// What has come in part when the relay stops is answered, not cut; the rest of it may still come.
+func TestOwedPieceAtStop(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		h := newSiteOf(t, patient, func(s *settings.Edge) { s.Clients.ReadTime = 60 })
+		h.serve(1, 1, echo)
+		c := h.dial()
+		c.asks("lookup")
+		text, id := cmd("seal")
+		io.WriteString(c, text[:20])
+		h.soon("it has begun", func() bool { return h.anyClient(func(cl *client) bool { return cl.reading }) })
+		h.r.AnswerBy(h.r.Now() + 0.3)
+		h.r.Leave()
+		if whole {
+			io.WriteString(c, text[20:])
+			h.want("the whole", c.line(), "v"+id)
+		} else {
+			h.want("the part", c.line(), "-ERR the command did not come whole in time")
+		}
+		h.want("and then", c.line(), "closed")
+	}
+}
+
+// anyClient tells whether some client's connection is as said.
+func (h *hall) anyClient(is func(*client) bool) bool {
+	h.r.mu.Lock()
+	defer h.r.mu.Unlock()
+	for cl := range h.r.clients {
+		if is(cl) {
+			return true
+		}
+	}
+	return false
+}
+
+// A connection that comes during a stop is not ended before its first command, which others could not know to send elsewhere.
+func TestOwedNewcomerAtStop(t *testing.T) {
+	h := newSite(t, nil)
+	h.serve(1, 1, echo)
+	h.r.Leave()
+	c := h.dial()
+	h.soon("its reader waits", func() bool {
+		return h.anyClient(func(cl *client) bool {
+			cl.parked.mu.Lock()
+			defer cl.parked.mu.Unlock()
+			return cl.parked.waiting
+		})
+	})
+	c.asks("seal")
+	h.want("and then", c.line(), "closed")
+}
+
+// A client that goes is seen to go at any time: nothing of its commands begins afterwards.
+func TestGoneClient(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(*settings.Edge)
+		play func(h *hall, c *talk)
+	}{
+		{"while so much is owed that reading has stopped", nil, func(h *hall, c *talk) {
+			for range 100 {
+				text, _ := long("lookup")
+				io.WriteString(c, text)
+			}
+			h.soon("reading has stopped", func() bool { return h.r.Numbers().Hands == 64 })
+		}},
+		{"after it was idle for long behind its command", func(s *settings.Edge) { s.Clients.IdleTime = 0.05 }, func(h *hall, c *talk) {
+			text, _ := long("lookup")
+			io.WriteString(c, text)
+			h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+			time.Sleep(150 * time.Millisecond) // above the idle time; a reader that waits otherwise by then is what this is about
+		}},
+		{"behind something that can't be read", nil, func(h *hall, c *talk) {
+			text, _ := long("lookup")
+			io.WriteString(c, text+"x\r\n")
+			h.soon("it was read", func() bool { return h.r.Numbers().Refused == 1 })
+		}},
+		{"while the relay stops", nil, func(h *hall, c *talk) {
+			text, _ := long("lookup")
+			io.WriteString(c, text)
+			h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+			h.r.Leave()
+		}},
+		{"with half a command behind the first", nil, func(h *hall, c *talk) {
+			text, _ := long("lookup")
+			io.WriteString(c, text+text[:12])
+			h.soon("in hand", func() bool { return h.r.Numbers().Hands == 1 })
+		}},
+	}
+	for _, x := range cases {
+		h := newSiteOf(t, patient, func(s *settings.Edge) {
+			if x.edit != nil {
+				x.edit(s)
+			}
+			s.Units.Connections, s.Units.Total = 100, 100
+		})
+		gate := make(chan struct{})
+		u := h.serve(1, 1, gated(gate))
+		c := h.dial()
+		x.play(h, c)
+		c.Close()
+		h.soon(x.name+": nothing is in hand", func() bool { return h.r.Numbers().Hands == 0 })
+		begun := u.count()
+		if begun == 0 {
+			t.Errorf("%s: nothing had begun", x.name)
+		}
+		close(gate)
+		h.soon("the unit's answers are in", func() bool { return h.r.Numbers().UnitConns == 0 })
+		if u.count() != begun {
+			t.Errorf("%s: %d deliveries, then %d", x.name, begun, u.count())
+		}
+	}
+}
+
+// A client that goes while its command's connection is being made: the unit hears nothing of it, also where nothing may be called off.
+func TestGoneClientAtDial(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		u := newFullUnit(t)
+		h := newSiteOf(t, func(t *policy.Terms) { patient(t); t.Cancel = cancel }, func(s *settings.Edge) { s.Units.DialTime = 30 })
+		h.list(false, roster.Unit{ID: 1, Addr: u.addr, State: "ready", Build: 1})
+		text, _ := long("lookup")
+		c := h.dial()
+		io.WriteString(c, text)
+		h.soon("the dial", func() bool { return h.r.Numbers().Dials == 1 })
+		c.Close()
+		h.soon("nothing is in hand", func() bool { return h.r.Numbers().Hands == 0 })
+		if said := u.next(t); strings.Contains(said, "API") {
+			t.Errorf("cancel %v: the unit got %q", cancel, said)
+		}
+	}
+}
+
+// A unit that drains, is gone or comes back as another process while a connection to it is being made gets nothing on that one.
+func TestUnitLeavesAtDial(t *testing.T) {
+	for _, how := range []roster.Unit{{State: "draining", Build: 1}, {State: "gone"}, {State: "ready", Build: 2}, {State: "ready", Build: 1, Start: 7}} {
+		u := newFullUnit(t)
+		h := newSiteOf(t, patient, func(s *settings.Edge) { s.Units.DialTime = 30 })
+		h.list(false, roster.Unit{ID: 1, Addr: u.addr, State: "ready", Build: 1})
+		text, id := long("seal")
+		c := h.dial()
+		io.WriteString(c, text)
+		h.soon("the dial", func() bool { return h.r.Numbers().Dials == 1 })
+		if how.ID = 1; how.State != "gone" {
+			how.Addr = u.addr
+		}
+		h.list(false, how)
+		two := h.serve(2, 1, echo)
+		if how.State == "ready" { // it is replaced, and then leaves as well: the command has one place to go
+			h.list(false, roster.Unit{ID: 1, State: "gone"})
+		}
+		if said := u.next(t); strings.Contains(said, "API") {
+			t.Errorf("%+v: the unit got %q", how, said)
+		}
+		h.want("served by the other", c.line(), "v"+id)
+		if two.count() != 1 {
+			t.Errorf("%+v: the other got %d", how, two.count())
+		}
+	}
+}
+
+// A delivery whose connection breaks before its last byte has left never ran: an at-most-once command is sent again.
+func TestDeliveryCutBeforeItsEnd(t *testing.T) {
+	h := newSiteOf(t, patient, nil)
+	var once sync.Once
+	cutNow := make(chan struct{})
+	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		c.(*net.TCPConn).SetReadBuffer(1 << 10)
+		cut := false
+		for w, ok := u.words(br); ok; w, ok = u.words(br) {
+			io.WriteString(c, value(w[2]))
+			once.Do(func() { cut = true })
+			if !cut {
+				continue
+			}
+			// Of the next delivery only a part is taken, and then the connection is reset.
+			var part [1000]byte
+			io.ReadFull(br, part[:])
+			<-cutNow
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	})
+	c := h.dial()
+	c.asks("seal")
+	h.r.mu.Lock()
+	for uc := range h.r.units { // so little room that a large command can't leave at once
+		uc.sock.Load().Conn.(*net.TCPConn).SetWriteBuffer(1 << 10)
+	}
+	h.r.mu.Unlock()
+	body := strings.Repeat("x", 60_000)
+	io.WriteString(c, words("API.WRITE", "7f3a", "big", "c=seal,d=60000", body))
+	h.soon("a part has left", func() bool {
+		h.r.mu.Lock()
+		defer h.r.mu.Unlock()
+		for uc := range h.r.units {
+			if uc.cur != nil && uc.cur.fate.Load() == held {
+				return true
+			}
+		}
+		return false
+	})
+	close(cutNow)
+	h.want("large", c.line(), "vbig")
+}
--- a/relay/owes.go
+++ b/relay/owes.go
@@ -20,7 +20,6 @@
 	out     []byte // due, and not yet taken by the kernel
 	writing bool   // a goroutine of its own writes
 	dead    bool
-	changed chan struct{} // has room for one: an answer left, or the connection died
 }
 
 func (o *owes) next() *owed {
@@ -31,16 +30,17 @@
 	return x
 }
 
-// state tells what is still owed or on its way, whether more may be read, and whether anybody is there.
-func (o *owes) state() (clear, room, dead bool) {
+// state tells whether something is still owed or on its way, whether more may be read, and whether nobody is there any more.
+func (o *owes) state() (owed, room, dead bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.line) == 0 && len(o.out) == 0 && !o.writing, shed.Ahead(len(o.line), len(o.out)), o.dead
+	return len(o.line) > 0 || len(o.out) > 0 || o.writing, shed.Ahead(len(o.line), len(o.out)), o.dead
 }
 
 // settle gives an answer, and writes what is due by that, without waiting; what the kernel does not take at once goes on by
 // itself for as long as a command may take to come.
 func (cl *client) settle(x *owed, bytes []byte) {
+	defer cl.wake()
 	o := &cl.owes
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -65,14 +65,6 @@
 			o.out = nil
 		}
 	}
-	cl.changed()
-}
-
-func (cl *client) changed() {
-	select {
-	case cl.owes.changed <- struct{}{}:
-	default:
-	}
 }
 
 // writeOn writes for a client that reads slowly.
@@ -85,7 +77,7 @@
 		o.out = nil
 		if o.writing = len(buf) > 0 && !o.dead; !o.writing {
 			o.mu.Unlock()
-			cl.changed()
+			cl.wake()
 			return
 		}
 		o.mu.Unlock()
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -25,7 +25,7 @@
 const (
 	cmdRead   = "API.READ"  // of redeliverable op types
 	cmdWrite  = "API.WRITE" // of the others, with a body
-	goingTime = 0.05        // s in which a command must have come whole on a connection that is to make room
+	pauseLook = 0.02        // s between two looks for room in the memory budget
 
 	mostName = 256 // bytes of an id, of a key, of a list of names and values
 )
@@ -45,6 +45,10 @@
 
 func (plat) reply(c *command, ans answer) { c.client.settle(c.owed, ans.bytes) }
 
+func (plat) rest() float64 { return shed.Rest }
+
+func (plat) atLastByte() bool { return true }
+
 func (plat) word(req *request, left float64) []byte {
 	ms := strconv.AppendInt(nil, int64(max(1, left*1000)), 10)
 	buf := make([]byte, 0, len(req.head)+len(req.extras)+len(req.body)+64)
@@ -145,55 +149,22 @@
 // serve takes commands as they come, each with its own clock, and lets answers follow in their order.
 func (p plat) serve(cl *client) {
 	r, o := cl.r, &cl.owes
-	o.changed = make(chan struct{}, 1)
 	g := &gate{from: cl.sock.Conn, mem: &r.mem, left: math.MaxInt64}
 	defer g.release()
 	br := bufio.NewReaderSize(g, 4096)
 	var hands []*command // that may have no answer yet
-	first := true
-	for {
-		lim := &r.now.Load().Doc.Clients
-		idle := lim.IdleTime
-		if first {
-			idle = lim.ReadTime // one that connects and says nothing
-		}
-		r.mu.Lock()
-		if cl.going { // told so before it came here; what has come meanwhile is served, and can't be read past its deadline
-			idle = 0
-			if cl.sock.unread() {
-				idle = lim.ReadTime
-			}
-		}
-		cl.sock.SetReadDeadline(time.Now().Add(span(idle)))
-		r.mu.Unlock()
-		if _, err := br.Peek(1); err != nil {
-			var late net.Error
-			if !errors.As(err, &late) || !late.Timeout() {
-				p.left(cl, hands)
-				return
-			}
-			if cl.more() {
-				continue
-			}
-			if clear, _, dead := o.state(); clear || dead {
-				return
-			}
-			p.await(cl)
-			continue
-		}
-		r.mem.wait(r.stop)
+	defer func() { p.left(cl, hands) }()
+	for first := true; p.next(cl, br, first); first = false {
 		waited := cl.lay()
 		r.mu.Lock()
 		cl.reading = true // a drain lets it come
-		cl.sock.SetReadDeadline(time.Now().Add(span(shed.Patience(lim.ReadTime, cl.going))))
+		cl.sock.SetReadDeadline(time.Now().Add(span(p.patience(cl))))
 		r.mu.Unlock()
 		args, err := resp.Command(br)
 		if err != nil {
 			p.refuse(cl, err)
-			p.left(cl, hands)
 			return
 		}
-		first = false
 		v := r.now.Load()
 		x := o.next()
 		if len(args) == 1 && string(args[0]) == "PING" {
@@ -209,38 +180,98 @@
 			}
 		}
 		g.release()
-		if hands = r.stillIn(hands); len(hands) > 0 {
-			for _, room, dead := o.state(); !room && !dead; _, room, dead = o.state() {
-				p.await(cl)
-			}
-		}
-		if r.leaving.Load() && br.Buffered() == 0 && !cl.more() {
-			p.finish(cl)
-			if !cl.more() {
-				return
-			}
-		}
+		hands = r.stillIn(hands)
 	}
 }
 
-// await waits until something of what a client is owed has changed.
-func (plat) await(cl *client) {
-	select {
-	case <-cl.owes.changed:
-	case <-cl.r.stop:
-		cl.owes.mu.Lock()
-		cl.owes.dead = true
-		cl.owes.mu.Unlock()
+// rouse bounds a command that has begun to come, too: half a one must not outlast the room or the relay.
+func (p plat) rouse(cl *client) {
+	if cl.reading && cl.going {
+		cl.sock.SetReadDeadline(time.Now()) // others wait for its room; it is told
+	} else if cl.reading {
+		cl.sock.SetReadDeadline(time.Now().Add(span(p.patience(cl))))
 	}
+	cl.wake()
 }
 
-// finish lets everything owed go out before the connection ends.
-func (p plat) finish(cl *client) {
+// patience is how long a command may take to come, s. Under the relay's lock.
+func (plat) patience(cl *client) float64 {
+	r := cl.r
+	most := shed.Patience(r.now.Load().Doc.Clients.ReadTime, cl.going)
+	if r.draining && r.answerBy > 0 {
+		most = max(0, min(most, r.answerBy-r.Now()))
+	}
+	return most
+}
+
+// next waits for a command's first byte, and for room to read it. false: the client has gone, or nothing is owed to it and it was
+// idle for too long, or is to go. Its going is seen at any time, also while something is owed and while nothing more is read.
+func (p plat) next(cl *client, br *bufio.Reader, first bool) bool {
+	r := cl.r
+	peek := func() error { _, err := br.Peek(1); return err }
+	idle, paused := time.Now(), 0.0
 	for {
-		if clear, _, dead := cl.owes.state(); clear || dead {
-			return
+		owed, room, dead := cl.owes.state()
+		lim := &r.now.Load().Doc.Clients
+		patience := lim.IdleTime
+		if first {
+			r.mu.Lock()
+			patience = p.patience(cl) // one that connects and says nothing
+			r.mu.Unlock()
+		}
+		var until time.Time
+		switch {
+		case dead:
+			return false
+		case owed:
+			idle = time.Now()
+		case cl.toEnd(first) && br.Buffered() == 0 && !cl.more():
+			return false
+		default:
+			until = idle.Add(span(patience))
+		}
+		look := peek
+		if !room {
+			look = cl.sock.hangUp
+		} else if paused > 0 {
+			look, until = cl.sock.hangUp, time.Now().Add(span(min(pauseLook, paused)))
+		}
+		switch err := cl.wait(until, look); {
+		case err == nil && !room, err == nil && paused > 0: // it hung up
+			return false
+		case err == nil:
+			if paused = r.mem.pause(); paused == 0 {
+				return true
+			}
+		case errors.Is(err, errWoken):
+		case !timedOut(err):
+			return false
+		case paused > 0: // what has come is read once there is room, or it was waited for long enough
+			if paused -= pauseLook; paused <= 0 || !r.mem.tight() {
+				return true
+			}
+		case owed:
+		case !cl.more():
+			return false // idle for too long
+		default:
+			idle = time.Now() // a command came in the last moment
+		}
+	}
+}
+
+// finish lets everything owed go out before the connection ends. false: its client has gone.
+func (p plat) finish(cl *client) bool {
+	for {
+		owed, _, dead := cl.owes.state()
+		if dead {
+			return false
+		}
+		if !owed {
+			return true
+		}
+		if err := cl.wait(time.Time{}, cl.sock.hangUp); !errors.Is(err, errWoken) {
+			return false
 		}
-		p.await(cl)
 	}
 }
 
@@ -264,7 +295,9 @@
 		return
 	}
 	p.direct(cl, cl.owes.next(), resp.Error(nil, text))
-	p.finish(cl)
+	if !p.finish(cl) {
+		return
+	}
 	cl.r.mu.Lock()
 	crowd := cl.going || len(cl.r.clients) >= cl.r.now.Load().Doc.Clients.Connections
 	cl.r.mu.Unlock()
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -20,13 +20,19 @@
 )
 
 // newSite is a hall whose relay speaks the platform's protocol.
-func newSite(t testing.TB, edit func(*settings.Edge)) *hall {
+func newSite(t testing.TB, edit func(*settings.Edge)) *hall { return newSiteOf(t, nil, edit) }
+
+// newSiteOf edits the module's terms, too.
+func newSiteOf(t testing.TB, teach func(*policy.Terms), edit func(*settings.Edge)) *hall {
 	terms := policy.Terms{Balancers: 1, BackVotes: 1, Round: 0.005, Parallel: true, Cancel: true, MaxPause: 1.5, ConnIdle: 10, Streams: 1,
 		Deliveries: 4, ColdFrom: 0.3, WarmUp: 1, FallFactor: 3, FallTime: 1, Window: 4, Free: 2, Caps: []float64{0.5, 1},
 		Stages: []float64{0.5, 1}, VoteLife: 10, VoteTimeout: 1, VoteRate: 10, HarmPrice: 1, StalePrice: 1, Forget: 60,
 		Ops: []policy.OpType{{Target: 0.3, Timeout: 0.6, Importance: 1},
 			{Target: 0.3, Timeout: 0.6, Importance: 1, Effect: policy.Deduplicated, Window: 5},
 			{Target: 0.3, Timeout: 0.6, Importance: 1, Effect: policy.AtMostOnce}}}
+	if teach != nil {
+		teach(&terms)
+	}
 	set := settings.Given("r1", terms, []string{"lookup", "order", "seal"},
 		settings.Clients{Connections: 50, ReadTime: 1, IdleTime: 20, DrainTime: 3},
 		settings.Units{Connections: 20, Total: 20, DialTime: 0.25, IdleTime: 8}, 0)
@@ -34,7 +40,9 @@
 		edit(set)
 	}
 	set.Clients.Keep = set.Clients.Connections
-	return startHall(t, NewPlatform(set, 1, quiet(), func(release.Vote) {}))
+	r := NewPlatform(set, 1, quiet(), func(release.Vote) {})
+	r.rest = 0 // most tests count connections
+	return startHall(t, r)
 }
 
 // words takes one delivery and notes it.
@@ -79,17 +87,20 @@
 
 var lastID int
 
-// cmd words a client's command: c is its class.
-func cmd(c string) (text, id string) {
+// cmd words a client's command: c is its class. Its client waits for half a second.
+func cmd(c string) (text, id string) { return cmdFor(c, 500) }
+
+func cmdFor(c string, ms int) (text, id string) {
 	lastID++
 	id = fmt.Sprintf("%016x", lastID)
+	extras := fmt.Sprintf("c=%s,d=%d", c, ms)
 	switch c {
 	case "lookup":
-		return words("API.READ", "7f3a", id, "c=lookup,d=500"), id
+		return words("API.READ", "7f3a", id, extras), id
 	case "order":
-		return words("API.WRITE", "7f3a", id, "c=order,d=500,k=5c0f", "BODY"), id
+		return words("API.WRITE", "7f3a", id, extras+",k=5c0f", "BODY"), id
 	}
-	return words("API.WRITE", "7f3a", id, "c=seal,d=500", "BODY"), id
+	return words("API.WRITE", "7f3a", id, extras, "BODY"), id
 }
 
 func words(list ...string) string {
@@ -243,24 +254,40 @@
 	}
 }
 
-// A value that has room for more is served, what comes behind it is nobody's: neither on its heels nor later.
+// A value that has room for more is served, what comes behind it is nobody's: neither where it lies there when the connection would be
+// used again, nor where it comes when the next command's answer is due, for the connection rests.
 func TestPlatformBytesTooMany(t *testing.T) {
-	for _, late := range []time.Duration{0, 3 * time.Millisecond} {
+	for _, rest := range []float64{0, 1000} {
 		h := newSite(t, nil)
+		h.r.rest = rest
+		copied, next := make(chan bool, 100), make(chan bool, 100)
 		u := h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
 			for w, ok := u.words(br); ok; w, ok = u.words(br) {
 				io.WriteString(c, value(w[2]))
-				time.Sleep(late)
+				if rest > 0 {
+					<-next // the next command is on its way
+				}
 				io.WriteString(c, value(w[2]))
+				copied <- true
 			}
 		})
 		c := h.dial()
-		for range 20 {
-			c.asks("seal")
-			time.Sleep(2 * late) // the second copy is there by then, whether its reader has run or not
+		for i := range 15 {
+			text, id := cmd("seal")
+			io.WriteString(c, text)
+			if rest > 0 && i > 0 {
+				next <- true
+			}
+			if got := c.line(); got != "v"+id {
+				t.Errorf("rest %g: %q, want %q", rest, got, "v"+id)
+			}
+			if rest == 0 {
+				<-copied
+			}
 		}
-		if u.count() != 20 {
-			t.Errorf("%d deliveries", u.count())
+		close(next)
+		if u.count() != 15 {
+			t.Errorf("rest %g: %d deliveries", rest, u.count())
 		}
 	}
 }
@@ -433,7 +460,7 @@
 	h.r.mu.Lock()
 	for cl := range h.r.clients {
 		cl.going = true
-		cl.sock.SetReadDeadline(time.Now())
+		cl.wake()
 	}
 	h.r.mu.Unlock()
 	time.Sleep(20 * time.Millisecond) // its reader waits for the answer by now
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,7 @@
 	// Answered, where set, is told of each final answer: op type, answer, s since the command came. It must not wait.
 	Answered func(op, kind string, secs float64)
 
+	rest  float64   // s after an answer in which its connection gets no further delivery
 	base  time.Time // on the clock that only goes forward, wall tells when that was
 	wall  float64
 	now   atomic.Pointer[version.Version] // in force; readers take no lock
@@ -41,7 +42,6 @@
 	conns sync.WaitGroup
 
 	shedding atomic.Bool   // something is shed now
-	leaving  atomic.Bool   // it stops: connections end when nothing is open on them
 	behind   atomic.Bool   // this process is late, or something is shed
 	oldest   atomic.Uint32 // ms that a command lay in the kernel, the most since the last look
 
@@ -119,7 +119,7 @@
 
 func newRelay(set *settings.Edge, speech speech, seed uint64, log *slog.Logger, cast func(release.Vote)) *Relay {
 	now := time.Now()
-	r := &Relay{set: set, log: log, speech: speech, cast: cast, base: now, wall: float64(now.UnixNano()) / 1e9,
+	r := &Relay{set: set, log: log, speech: speech, cast: cast, rest: speech.rest(), base: now, wall: float64(now.UnixNano()) / 1e9,
 		stop: make(chan struct{}), wake: make(chan struct{}, 1),
 		pools: map[uint32]*pool{}, ids: map[string]struct{}{}, units: map[*unitConn]struct{}{}, clients: map[*client]struct{}{}}
 	r.keeper = version.NewKeeper(&set.Document, nil, 0, set.Patience())
@@ -341,10 +341,12 @@
 	if !c.Sent[d.try].Out {
 		return
 	}
-	if d.drop() && result != policy.Unconnected && result != policy.Full {
+	answered := result == policy.Acked || result == policy.Errored || result == policy.Full
+	part := d.fate.Load() == held
+	if !answered && d.drop() && result != policy.Unconnected {
 		result = policy.Unsent
-		if d.conn != nil && d.conn.dialing && !c.Ended {
-			result = policy.Unconnected // there was time, and no connection came of it
+		if d.conn != nil && (d.conn.dialing || part) && !c.Ended {
+			result = policy.Unconnected // there was time, and no connection that takes a command came of it
 		}
 	}
 	d.result = result
@@ -392,10 +394,10 @@
 	next := 0.0
 	if !c.Ended {
 		next = c.again
-		for _, d := range c.outs {
-			if c.Sent[d.try].Out && (next == 0 || d.until < next) {
-				next = d.until
-			}
+	}
+	for _, d := range c.outs { // also what nobody waits for any more: a unit that never answers must not hold its connection for ever
+		if c.Sent[d.try].Out && (next == 0 || d.until < next) {
+			next = d.until
 		}
 	}
 	r.dues.set(c, next)
@@ -522,6 +524,11 @@
 	r.count.Left++
 	r.close(c)
 	var a acts
+	for _, d := range c.outs {
+		if c.Sent[d.try].Out && d.fate.Load() == fresh { // nobody waits for what has not left yet
+			r.ended(now, d, policy.Cancelled, &a)
+		}
+	}
 	r.apply(now, c, r.pick(now, c), &a)
 	r.mu.Unlock()
 	r.do(&a)
--- a/relay/speech.go
+++ b/relay/speech.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"time"
 
 	"flintspread/policy"
 	"flintspread/version"
@@ -18,9 +19,15 @@
 	reply(c *command, ans answer)
 	crowded(pause float64) []byte
 
-	// To units: word gives a delivery's bytes, left being the s that the relay waits for it; read reads its answer. An
+	// rouse has a client's reader look whether its connection is to end. Under the relay's lock.
+	rouse(cl *client)
+
+	// To units: rest is the s after an answer in which its connection gets no further delivery; word gives a delivery's bytes, left being the s that the relay waits for it; read reads its answer. An
 	// error says that the connection is of no further use, and that the delivery may have run. keep: the connection may be
 	// used again.
+	// atLastByte: a unit begins a delivery with its last byte, so that one cut before it never ran.
+	rest() float64
+	atLastByte() bool
 	word(req *request, left float64) []byte
 	read(br *bufio.Reader, g *gate, d *delivery) (ans answer, result policy.Result, keep bool, err error)
 }
@@ -30,6 +37,12 @@
 
 func (web) serve(cl *client) { cl.serve() }
 
+func (web) rouse(cl *client) {
+	if !cl.reading { // a drain lets it come
+		cl.sock.SetReadDeadline(time.Now())
+	}
+}
+
 func (web) nacked(v *version.Version, pause float64) answer {
 	return plain(503, "nacked", "not done; trying again does no harm", pause).under(v)
 }
@@ -48,6 +61,10 @@
 	return plain(503, "nacked", "too many connections", pause).closing().bytes
 }
 
+func (web) rest() float64 { return 0 }
+
+func (web) atLastByte() bool { return false } // a unit may act on a head alone
+
 func (web) word(req *request, left float64) []byte {
 	buf := make([]byte, 0, len(req.head)+len(req.body)+40)
 	buf = append(buf, req.head...)
--- a/relay/unit.go
+++ b/relay/unit.go
@@ -25,22 +25,26 @@
 	sentBy *unitConn // as conn, but never changed once given
 }
 
-// A delivery's fate is settled once: whoever takes it from fresh says whether a byte of it may leave. So a delivery
-// that was dropped before provably never ran, and one that is being written may have run.
+// A delivery's fate is settled once: whoever takes it from fresh, or from held where units begin one with its last byte, says whether
+// that byte may leave. One that was dropped before provably never ran; one that is written may have run.
 const (
-	fresh int32 = iota
-	writing
+	fresh   int32 = iota // nothing of it has left
+	held                 // the kernel took a part, and the last byte is held back
+	written              // the last byte leaves, or has left
 	dropped
 )
 
-func (d *delivery) drop() bool  { return d.fate.CompareAndSwap(fresh, dropped) }
-func (d *delivery) begin() bool { return d.fate.CompareAndSwap(fresh, writing) }
+func (d *delivery) drop() bool {
+	return d.fate.CompareAndSwap(fresh, dropped) || d.fate.CompareAndSwap(held, dropped)
+}
+
+func (d *delivery) begin() bool { return d.fate.CompareAndSwap(fresh, written) }
 
 // pool is the connections to one unit. Under the relay's lock.
 type pool struct {
 	id     uint32
 	addr   string
-	listed bool
+	listed bool // a connection may get a delivery: it is on the list as this process, and does not drain
 	build  int
 	start  float64
 	zone   uint16
@@ -88,7 +92,7 @@
 		p = &pool{id: u.ID, addr: u.Addr, build: u.Build, start: u.Start}
 		r.pools[u.ID] = p
 	}
-	p.listed, p.zone, p.cell = true, u.Zone, u.Cell
+	p.listed, p.zone, p.cell = u.State != "draining", u.Zone, u.Cell
 }
 
 // dropPools forgets the units that left the list and have no connection any more.
@@ -135,18 +139,20 @@
 // carry gives a delivery a connection: an idle one or, within the bound, a new one. It tells whether there is one.
 func (r *Relay) carry(d *delivery, a *acts) bool {
 	p := r.pools[d.unit]
-	if p == nil {
+	if p == nil || !p.listed {
 		return false
 	}
 	lim := &r.now.Load().Doc.Units
-	for n := len(p.idle); n > 0; n = len(p.idle) {
+	for n := len(p.idle); n > 0; n-- {
 		uc := p.idle[n-1]
+		if d.at-uc.since < r.rest {
+			continue // what else its unit may say would be taken for this one's answer
+		}
 		if d.at-uc.since > lim.IdleTime || uc.spoken() { // the sweep, or its reader, has not come to it yet
 			r.drop(uc, a)
 			continue
 		}
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
+		p.idle = append(p.idle[:n-1], p.idle[n:]...)
 		uc.cur, d.conn, d.sentBy = d, uc, uc
 		a.sends = append(a.sends, d)
 		return true
@@ -193,31 +199,57 @@
 	buf := r.speech.word(d.cmd.req, max(0.001, d.until-r.Now()))
 	s := d.sentBy.sock.Load()
 	n, err := s.writeNow(buf)
-	if err != nil && n == 0 {
-		r.unwritten(d)
-		return
-	}
-	if err == nil && n < len(buf) {
+	switch {
+	case err != nil && (n == 0 || r.speech.atLastByte()):
+		r.unwritten(d, n, err)
+	case err != nil:
+		s.Close() // its reader tells
+	case n < len(buf):
 		// The unit does not read. The rest goes from a goroutine of its own; the delivery's end closes the connection.
+		if r.speech.atLastByte() {
+			d.fate.Store(held)
+		}
 		r.conns.Add(1)
-		go func() {
-			defer r.conns.Done()
-			if _, err := s.Write(buf[n:]); err != nil {
-				s.Close() // its reader tells
-			}
-		}()
-	} else if err != nil {
-		s.Close()
+		go r.sendRest(d, s, buf, n)
 	}
 }
 
-// unwritten ends a delivery of which the kernel took no byte.
-func (r *Relay) unwritten(d *delivery) {
+// sendRest writes what the kernel did not take at once, from byte n on.
+func (r *Relay) sendRest(d *delivery, s *socket, buf []byte, n int) {
+	defer r.conns.Done()
+	last := len(buf)
+	if r.speech.atLastByte() {
+		last--
+	}
+	m, err := s.Write(buf[n:last])
+	if n += m; err == nil && n < len(buf) {
+		if !d.fate.CompareAndSwap(held, written) {
+			return // given up: it never ran
+		}
+		m, err = s.Write(buf[n:])
+		n += m
+	}
+	switch {
+	case err != nil && r.speech.atLastByte():
+		r.unwritten(d, n, err)
+	case err != nil:
+		s.Close() // its reader tells
+	}
+}
+
+// unwritten ends a delivery whose last byte the kernel did not take: it never ran. Where it took none the connection was over before,
+// which says nothing of the unit now.
+func (r *Relay) unwritten(d *delivery, n int, err error) {
+	result := policy.Unconnected
+	if n == 0 {
+		result = policy.Unsent
+	}
 	r.mu.Lock()
 	var a acts
 	if c := d.cmd; c.Sent[d.try].Out {
-		d.fate.Store(fresh) // nothing left after all
-		r.ended(r.Now(), d, policy.Unsent, &a)
+		r.log.Debug("delivery not written", "unit", d.unit, "bytes", n, "error", err)
+		d.fate.Store(fresh)
+		r.ended(r.Now(), d, result, &a)
 	}
 	r.mu.Unlock()
 	r.do(&a)
@@ -230,9 +262,12 @@
 	r.mu.Lock()
 	uc.dialing = false
 	var a acts
-	if err != nil || uc.gone {
+	if err != nil || uc.gone || !uc.pool.listed {
 		if d := uc.cur; d != nil {
 			result := policy.Unconnected
+			if err == nil { // its unit left, drains or was replaced while the connection was made
+				result = policy.Unsent
+			}
 			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 				result = policy.Unsent // want of descriptors here says nothing of the unit
 			}
@@ -300,7 +335,7 @@
 	}
 	var a acts
 	uc.cur, d.conn = nil, nil
-	if keep = keep && !uc.gone && uc.pool.listed; keep {
+	if keep = keep && !uc.gone && uc.pool.listed && d.fate.Load() == written; keep {
 		uc.since = now
 		uc.pool.idle = append(uc.pool.idle, uc)
 	} else {
--- a/shed/room.go
+++ b/shed/room.go
@@ -16,6 +16,10 @@
 	untaken   = 256 << 10
 )
 
+// Rest is the s after a unit's answer in which its connection is not used again, where answers name no command: the platform's units
+// may send a second one some milliseconds late, which would be taken for the next command's.
+const Rest = 0.025
+
 // Parts is what a machine's limits come to.
 type Parts struct {
 	Clients, Keep, Units int   // connections; Keep: of clients, from which idle ones go
