Stream: objects in any layout, silence seen anywhere; a list that is behind is refused

To blame: stream.once (bufio.Scanner by lines, one time-out for all), node's silence and backMost; node.object took any whole list, so that one that was behind brought units back that drained or left; PING was answered before any unit was known. A PING waits for a unit to decide about, 0.5 s at most with a known list and 2 s without (shed.Start). After the end a reload begins nothing.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -140,3 +140,21 @@
 	}
 	return line
 }
+
+// Renewal tells a whole list that is behind, as a copy may be for a while, from one whose numbers began anew.
+type Renewal struct{ behind float64 }
+
+// Takes tells whether a whole list of a version may be taken where one is in force. An older one would bring back units that
+// drained or left since; where no newer one came for so long, it is discovery's own.
+func (r *Renewal) Takes(version, have uint64, now, long float64) bool {
+	switch {
+	case version >= have:
+		r.behind = 0
+	case r.behind == 0:
+		r.behind = now
+		return false
+	case now-r.behind < long:
+		return false
+	}
+	return true
+}
--- a/node/node.go
+++ b/node/node.go
@@ -32,12 +32,11 @@
 	idleTime  = 2.2    // s that a client's connection may be idle: the platform's clients may be closed on after 2
 	forget    = 60.0   // s after which a unit that left is forgotten
 	keysKept  = 50_000 // for one-way keys
-	silence   = 5.0    // s of discovery's: an empty line is due every 2 s
+	silence   = 2.5    // s of discovery's: a heartbeat is due every 2 s. Two silent watches and the return fit in the 6 s after which
+	opening   = 1.0    // what they miss counts as told; discovery's agent is on this machine and answers at once
 	backLeast = 0.05   // s
-	backMost  = 1.0
-	joinTime  = 1.5 // s that the list's old address is still followed where a new one says nothing
-
-	forClients = 0.55 // of the descriptors
+	backMost  = 0.25   // a change counts as told when the agent is back, and the grace runs from then
+	joinTime  = 1.5    // s that the list's old address is still followed where a new one says nothing
 )
 
 // Node is one relay.
@@ -54,9 +53,13 @@
 	from    string // discovery's address
 	feed    int    // the follower whose objects count; earlier ones may still add changes
 	joined  int    // the newest that was told something
+	renewal catalog.Renewal
+	ended   bool // nothing new is followed
 	running sync.WaitGroup
 
-	plan shed.Leaving
+	plan     shed.Leaving
+	unheard  float64 // s after which it is ready though discovery said nothing
+	mostList int64   // bytes of a list
 
 	feeds     context.Context // of what is followed; it outlasts the listener
 	stopFeeds context.CancelFunc
@@ -73,7 +76,7 @@
 	set := settings.Given(t.Name, terms, t.Ops,
 		settings.Clients{Connections: parts.Clients, Keep: parts.Keep, ReadTime: speakUp, IdleTime: idleTime},
 		settings.Units{Connections: parts.Units, Total: parts.Units, DialTime: t.Dial, IdleTime: shed.IdleTime(terms.ConnIdle)}, parts.Buffers)
-	n := &Node{told: t, log: log, from: t.Discovery, names: catalog.Names{Kept: 2 * forget},
+	n := &Node{told: t, log: log, from: t.Discovery, mostList: parts.Buffers / 2, names: catalog.Names{Kept: 2 * forget},
 		http: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}}
 	longest := 0.0
 	for _, op := range terms.Ops {
@@ -93,6 +96,7 @@
 			log.Error("known list", "error", err) // discovery tells it anew
 		}
 	}
+	n.unheard = shed.Start(n.units() > 0)
 	return n
 }
 
@@ -104,6 +108,8 @@
 	failed := make(chan error, 1)
 	n.running.Go(func() { failed <- n.relay.Serve(l) })
 	n.running.Go(func() { n.report(n.feeds) })
+	unheard := time.AfterFunc(span(n.unheard), n.relay.Ready)
+	defer unheard.Stop()
 	n.log.Info("serving", "relay", n.told.Name, "listen", l.Addr().String())
 	var err error
 	select {
@@ -123,6 +129,9 @@
 	if late := n.relay.Drain(until); late != nil {
 		n.log.Error("drain", "error", late)
 	}
+	n.mu.Lock()
+	n.ended = true // a reload in the last moment begins nothing
+	n.mu.Unlock()
 	n.stopFeeds()
 	n.relay.Close()
 	n.running.Wait()
@@ -132,6 +141,12 @@
 
 func span(secs float64) time.Duration { return time.Duration(secs * float64(time.Second)) }
 
+func (n *Node) units() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.list.Len()
+}
+
 // Move takes the addresses of a configuration that was replaced.
 func (n *Node) Move(t *Told) {
 	n.line.Move(t.Platform)
@@ -147,9 +162,12 @@
 // follow begins to follow discovery at its present address. A follower before it goes once this one had time to join.
 func (n *Node) follow() {
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return
+	}
 	n.feed++
 	me, from := n.feed, n.from
-	n.mu.Unlock()
 	mine, stop := context.WithCancel(n.feeds)
 	heard := func() (old bool) {
 		n.mu.Lock()
@@ -157,7 +175,7 @@
 		n.joined = max(n.joined, me)
 		return n.feed != me
 	}
-	source := stream.Source{Silence: silence, Least: backLeast, Most: backMost, Log: n.log, Client: n.http,
+	source := stream.Source{Silence: silence, Opening: opening, Object: n.mostList, Least: backLeast, Most: backMost, Log: n.log, Client: n.http,
 		Alive: func() {
 			heard()
 			n.relay.Unchanged()
@@ -175,7 +193,13 @@
 			if heard() && o.Whole {
 				return nil // the newer follower's whole list counts
 			}
-			return n.object(o)
+			if err := n.object(o); err != nil {
+				return err
+			}
+			if n.units() > 0 {
+				n.relay.Ready()
+			}
+			return nil
 		}, func() {})
 	})
 	n.running.Go(func() {
@@ -205,10 +229,13 @@
 func (n *Node) object(o *catalog.Object) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now := n.relay.Now()
 	if !o.Whole && o.Seq < n.list.Version {
 		return nil
 	}
-	now := n.relay.Now()
+	if o.Whole && !n.renewal.Takes(o.Seq, n.list.Version, now, forget) {
+		return fmt.Errorf("list version %d is older than %d, which is in force", o.Seq, n.list.Version)
+	}
 	line := n.names.Line(o, now)
 	if err := line.Check(); err != nil {
 		return err
--- a/relay/client.go
+++ b/relay/client.go
@@ -286,6 +286,31 @@
 	cl.done <- struct{}{}
 }
 
+// Ready has the relay say that it is ready, to all who asked and to who asks. Until then it can't decide where commands go.
+func (r *Relay) Ready() {
+	r.mu.Lock()
+	pings := r.pings
+	r.ready, r.pings = true, nil
+	r.mu.Unlock()
+	for _, answer := range pings {
+		answer()
+	}
+}
+
+// whenReady answers a client's question now or once the relay is ready.
+func (r *Relay) whenReady(cl *client, answer func()) {
+	r.mu.Lock()
+	cl.reading = false
+	ready := r.ready
+	if !ready {
+		r.pings = append(r.pings, answer)
+	}
+	r.mu.Unlock()
+	if ready {
+		answer()
+	}
+}
+
 // AnswerBy has all that is in hand, and all that is taken from now on, answered by a time, whatever its client would wait.
 func (r *Relay) AnswerBy(at float64) {
 	r.mu.Lock()
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -168,7 +168,7 @@
 		v := r.now.Load()
 		x := o.next()
 		if len(args) == 1 && string(args[0]) == "PING" {
-			p.direct(cl, x, []byte("+PONG\r\n"))
+			r.whenReady(cl, func() { p.direct(cl, x, []byte("+PONG\r\n")) })
 		} else if req, op, err := p.command(v, args); err != nil {
 			p.direct(cl, x, resp.Error(nil, "ERR "+err.Error()))
 		} else {
--- a/relay/platform_test.go
+++ b/relay/platform_test.go
@@ -42,6 +42,7 @@
 	set.Clients.Keep = set.Clients.Connections
 	r := NewPlatform(set, 1, quiet(), func(release.Vote) {})
 	r.rest = 0 // most tests count connections
+	r.Ready()
 	return startHall(t, r)
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,7 +67,9 @@
 	units    map[*unitConn]struct{}
 	clients  map[*client]struct{}
 	draining bool
-	answerBy float64 // when all is to be answered, 0: no such time
+	ready    bool     // it says so to who asks
+	pings    []func() // answers to those who asked before
+	answerBy float64  // when all is to be answered, 0: no such time
 	listNo   uint64
 	listAt   float64 // when what the list says was true
 	count    Numbers
--- a/shed/leave.go
+++ b/shed/leave.go
@@ -14,6 +14,7 @@
 	Listen float64 // it takes new connections until then
 	Serve  float64 // and new commands on those that there are
 	Answer float64 // all that it took is answered
+	Kill   float64 // it may be killed from then on
 	End    float64 // it gives up what is left: answers that are not taken, for all else has ended
 }
 
@@ -21,5 +22,5 @@
 // time enough left to answer each before the kill.
 func Leave(longest float64) Leaving {
 	kill := min(longest, mostWait) + stopAfter
-	return Leaving{comeOn, kill - lastLook, kill - lastAnswer, kill + overtime}
+	return Leaving{comeOn, kill - lastLook, kill - lastAnswer, kill, kill + overtime}
 }
