--- a/edge/edge.go
+++ b/edge/edge.go
@@ -126,7 +126,7 @@
 	case err = <-failed:
 	}
 	log.Info("draining", "relay", set.Relay)
-	listener.Close()
+	relay.CloseEmpty(listener)
 	// The list goes on while there is something in hand: drains still bind.
 	until, cancel := context.WithTimeout(context.Background(), time.Duration(set.Clients.DrainTime*float64(time.Second)))
 	defer cancel()
--- a/node/node.go
+++ b/node/node.go
@@ -116,14 +116,14 @@
 	case <-ctx.Done():
 		n.log.Info("leaving", "relay", n.told.Name)
 		n.relay.AnswerBy(n.relay.Now() + n.plan.Answer)
-		closed := time.AfterFunc(span(n.plan.Listen), func() { l.Close() })
+		closed := time.AfterFunc(span(n.plan.Listen), func() { relay.CloseEmpty(l) })
 		time.Sleep(span(n.plan.Serve))
 		n.relay.Leave()
 		time.Sleep(span(n.plan.Listen - n.plan.Serve))
 		closed.Stop()
 	case err = <-failed:
 	}
-	l.Close()
+	relay.CloseEmpty(l)
 	until, cancel := context.WithTimeout(context.Background(), span(n.plan.End-max(n.plan.Serve, n.plan.Listen)))
 	defer cancel()
 	if late := n.relay.Drain(until); late != nil {
--- a/relay/client.go
+++ b/relay/client.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"flintspread/policy"
 	"flintspread/shed"
 )
@@ -94,6 +96,43 @@
 	}
 }
 
+// CloseEmpty closes a listener once what the kernel has accepted for it is taken, which Serve does meanwhile: closing it over
+// connections would reset them, with the commands that they brought.
+func CloseEmpty(l net.Listener) {
+	const step, most = time.Millisecond, 1000 // a process that takes nobody for a second takes nobody
+	defer l.Close()
+	sock, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sock.SyscallConn()
+	for i := 0; err == nil && i < most; i++ {
+		waits := false
+		err = raw.Control(func(fd uintptr) {
+			n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+			waits = err == nil && n > 0
+		})
+		if !waits {
+			return
+		}
+		time.Sleep(step)
+	}
+}
+
+// linger ends this side of a connection whose client has its last answer, and reads for a moment what still comes.
+func (cl *client) linger() {
+	if tcp, ok := cl.sock.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	cl.sock.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var sink [4096]byte
+	for range 64 {
+		if _, err := cl.sock.Read(sink[:]); err != nil {
+			return
+		}
+	}
+}
+
 // evict has a connection make room for another, by the shedding module's order. Its reader closes it: what it has begun to read
 // meanwhile is served. Under the lock.
 func (r *Relay) evict() bool {
@@ -192,16 +231,7 @@
 	cl.r.count.Refused++
 	cl.r.mu.Unlock()
 	cl.sock.writeNow(plain(bad.status, "", bad.what, 0).closing().bytes)
-	if tcp, ok := cl.sock.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
-	cl.sock.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-	var sink [4096]byte
-	for range 64 {
-		if _, err := cl.sock.Read(sink[:]); err != nil {
-			return
-		}
-	}
+	cl.linger()
 }
 
 // handle serves one request and tells whether the connection goes on.
--- a/relay/owed_test.go
+++ b/relay/owed_test.go
@@ -323,3 +323,35 @@
 	close(cutNow)
 	h.want("large", c.line(), "vbig")
 }
+
+// Who was accepted by the kernel, but not yet by the program, is served before the listener closes.
+func TestOwedAtAccept(t *testing.T) {
+	h := newSite(t, nil)
+	h.serve(1, 1, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var waiting []*talk
+	var want []string
+	for range 5 {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+		text, id := cmd("seal")
+		io.WriteString(nc, text)
+		waiting, want = append(waiting, &talk{nc, bufio.NewReader(nc), t}), append(want, "v"+id)
+	}
+	ended := make(chan struct{})
+	go func() { CloseEmpty(l); close(ended) }()
+	if err := h.r.Serve(l); err != nil { // until it is closed
+		t.Error(err)
+	}
+	<-ended
+	for i, c := range waiting {
+		h.want("accepted", c.line(), want[i])
+	}
+}
--- a/relay/platform.go
+++ b/relay/platform.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net"
 	"strconv"
@@ -304,16 +303,7 @@
 	if crowd { // others wait for the room
 		return
 	}
-	if tcp, ok := cl.sock.Conn.(*net.TCPConn); ok {
-		tcp.CloseWrite()
-	}
-	cl.sock.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
-	var sink [4096]byte
-	for range 64 {
-		if _, err := cl.sock.Read(sink[:]); err == io.EOF || err != nil {
-			return
-		}
-	}
+	cl.linger()
 }
 
 // left ends what a client that went away has in hand.
