Relay: an answer that is taken slowly goes out whole; a reload says which settings wait

To blame: client.writeOn, one deadline of ReadTime for all that was due. Excluded: the answers' order, the memory budget. Change: each 64 KiB has the longest command timeout of the settings. A reload whose file differs in settings or limits logs that these count from the next start; only addresses were taken before as well, and nothing said so. Measured: tests of relay and node pass, the new ones 5 times under -race.

--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -149,6 +150,10 @@
 
 // Move takes the addresses of a configuration that was replaced.
 func (n *Node) Move(t *Told) {
+	if !reflect.DeepEqual([]any{t.Terms, t.Ops, t.Dial, t.Cores, t.Memory, t.Sockets, t.Name, t.Listen},
+		[]any{n.told.Terms, n.told.Ops, n.told.Dial, n.told.Cores, n.told.Memory, n.told.Sockets, n.told.Name, n.told.Listen}) {
+		n.log.Warn("the file has other settings or limits than those in force; they count from the next start")
+	}
 	n.line.Move(t.Platform)
 	n.mu.Lock()
 	same := n.from == t.Discovery
--- a/relay/owed_test.go
+++ b/relay/owed_test.go
@@ -355,3 +355,80 @@
 		h.want("accepted", c.line(), want[i])
 	}
 }
+
+// An answer that its client takes slowly goes out whole, however long a command may take to come.
+func TestOwedToSlowReader(t *testing.T) {
+	h := newSiteOf(t, patient, func(s *settings.Edge) { s.Clients.ReadTime, s.Clients.IdleTime = 0.05, 0.05 })
+	big := strings.Repeat("x", 1_000_000)
+	h.serve(1, 1, says("*3\r\n$1000000\r\n"+big+"\r\n$-1\r\n$-1\r\n"))
+	c := h.dial()
+	c.Conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+	for range 8 { // far more than the kernels hold
+		text, _ := long("lookup")
+		io.WriteString(c, text)
+	}
+	h.soon("the kernel is full", func() bool {
+		return h.anyClient(func(cl *client) bool {
+			cl.owes.mu.Lock()
+			defer cl.owes.mu.Unlock()
+			return cl.owes.writing && len(cl.owes.line) == 0
+		})
+	})
+	time.Sleep(150 * time.Millisecond) // above the times that commands have to come
+	for range 8 {
+		if got := c.line(); got != big {
+			t.Fatalf("%.60q of %d bytes", got, len(got))
+		}
+	}
+}
+
+// A connection that comes up once its time is over is not used, and what waited for it never ran.
+func TestConnectionUpLate(t *testing.T) {
+	u := newFullUnit(t)
+	h := newSiteOf(t, patient, func(s *settings.Edge) { s.Units.DialTime = 0.05 })
+	h.list(false, roster.Unit{ID: 1, Addr: u.addr, State: "ready", Build: 1})
+	text, _ := long("seal")
+	h.want("never ran", h.say(text), "-BUSY 1500")
+	done := make(chan string)
+	go func() { done <- u.next(t) }()
+	select {
+	case said := <-done:
+		if said != "" {
+			t.Errorf("the unit got %q", said)
+		}
+	case <-time.After(2 * time.Second): // nothing came up at all
+		c, err := net.Dial("tcp", u.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		<-done
+	}
+}
+
+// The time that a unit is told is what is left to the client, also with a further delivery.
+func TestTimeTold(t *testing.T) {
+	h := newSiteOf(t, patient, nil)
+	u := h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
+		w, ok := u.words(br)
+		if !ok {
+			return
+		}
+		if u.count() == 1 {
+			time.Sleep(120 * time.Millisecond)
+			return // the connection ends
+		}
+		io.WriteString(c, value(w[2]))
+	})
+	text, id := long("lookup")
+	h.want("served", h.say(text), "v"+id)
+	var told []int
+	for _, l := range strings.Split(u.all(), "\n") {
+		var ms int
+		fmt.Sscanf(l[strings.Index(l, "d=")+2:], "%d", &ms)
+		told = append(told, ms)
+	}
+	if len(told) != 2 || told[0] > 60_000 || told[1] > told[0]-120 {
+		t.Errorf("told %v", told)
+	}
+}
--- a/relay/owes.go
+++ b/relay/owes.go
@@ -38,7 +38,7 @@
 }
 
 // settle gives an answer, and writes what is due by that, without waiting; what the kernel does not take at once goes on by
-// itself for as long as a command may take to come.
+// itself.
 func (cl *client) settle(x *owed, bytes []byte) {
 	defer cl.wake()
 	o := &cl.owes
@@ -67,8 +67,10 @@
 	}
 }
 
-// writeOn writes for a client that reads slowly.
+// writeOn writes for a client that reads slowly, for as long as it takes something: an answer that is cut is none. One that takes
+// nothing is waited for as long as a command may take at most.
 func (cl *client) writeOn() {
+	const piece = 64 << 10
 	defer cl.r.conns.Done()
 	o := &cl.owes
 	for {
@@ -82,8 +84,11 @@
 		}
 		o.mu.Unlock()
 		cl.r.mem.add(len(buf))
-		cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.now.Load().Doc.Clients.ReadTime)))
-		_, err := cl.sock.Write(buf)
+		var err error
+		for rest := buf; len(rest) > 0 && err == nil; rest = rest[min(piece, len(rest)):] {
+			cl.sock.SetWriteDeadline(time.Now().Add(span(cl.r.longest())))
+			_, err = cl.sock.Write(rest[:min(piece, len(rest))])
+		}
 		cl.sock.SetWriteDeadline(time.Time{})
 		cl.r.mem.add(-len(buf))
 		if err != nil {
@@ -94,3 +99,12 @@
 		}
 	}
 }
+
+// longest is the most that a command may take by the settings, s.
+func (r *Relay) longest() float64 {
+	most := 0.0
+	for _, op := range r.now.Load().Terms.Ops {
+		most = max(most, op.Timeout)
+	}
+	return most
+}
