--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -419,9 +419,11 @@
 // A unit that closes its receive window costs the timer and other commands nothing.
 func TestUnitThatDoesNotRead(t *testing.T) {
 	h := newHall(t, func(s *settings.Edge) { s.Clients.BodyBytes = 16 << 20 })
+	over := make(chan struct{})
+	defer close(over)
 	h.serve(1, 1, func(u *unitScript, c net.Conn, br *bufio.Reader) {
 		c.(*net.TCPConn).SetReadBuffer(4096)
-		time.Sleep(2 * time.Second)
+		<-over // it does not read as long as the test lasts
 	})
 	c := h.dial()
 	fmt.Fprintf(c, "POST /seal/1 HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", 16<<20)
