--- a/review/cases/common.go
+++ b/review/cases/common.go
@@ -322,6 +322,7 @@
 	status  int
 	pause   float64 // Flint-Pause in seconds
 	version string
+	build   string // X-Build, from the stand-in units
 	body    []byte
 	elapsed time.Duration
 	err     error
@@ -356,7 +357,7 @@
 		return callResult{err: err, elapsed: time.Since(sent)}
 	}
 	result = callResult{answer: response.Header.Get("Flint-Answer"), status: response.StatusCode, body: text.Bytes(),
-		version: response.Header.Get("Flint-Version"), elapsed: time.Since(sent)}
+		version: response.Header.Get("Flint-Version"), build: response.Header.Get("X-Build"), elapsed: time.Since(sent)}
 	if result.answer == "" {
 		result.answer = fmt.Sprint(response.StatusCode)
 	}
