Review: case 1's units have a loopback address of their own

The kernel remembers by address what it learns of a link; the units' small segments shall not touch what other tests on 127.0.0.1 find.

--- a/review/cases/stuck.go
+++ b/review/cases/stuck.go
@@ -38,6 +38,7 @@
 	linkChunkBytes = 64 << 10                // a connection passes so much
 	linkChunkTime  = 3 * time.Millisecond    // in this time, about 170 Mbit/s
 	linkBuffer     = 16 << 10                // receive buffer of a connection, in bytes
+	unitHost       = "127.0.0.2"             // of its own: the kernel remembers by address what it learns of such links
 	linkSegment    = 1460                    // segment size of an Ethernet
 )
 
@@ -65,7 +66,7 @@
 		})
 		return errors.Join(controlErr, err)
 	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	listener, err := config.Listen(context.Background(), "tcp", unitHost+":0")
 	if err != nil {
 		return nil, err
 	}
