Policy: an attempt keeps what later decisions need to know of its endpoint

Cause: an attempt kept only its endpoint's id, and a retry looked the zone or cell up in the list. A version with a shorter :forget-units binds at once, while requests in flight keep the longer timeouts of their own version, so that the endpoint was forgotten first.

Change: the balancer adds attempts to their request itself, with the zone and cell at that time and its record of the endpoint, and ends them in OnAttemptDone. Nothing is looked up by id later. Callers no longer build or end attempts, and the simulator adapter's own table of which outcomes may have run is gone.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -88,9 +88,8 @@
 	if decision.Action != policy.Send {
 		return
 	}
-	request.Attempts = append(request.Attempts, policy.Attempt{Endpoint: decision.Endpoint, StartedAt: s.now, MayHaveRun: true})
 	request.Completed = true
-	router.balancer.OnAttemptDone(s.now, request, decision.Endpoint, policy.Succeeded, 0.01)
+	router.balancer.OnAttemptDone(s.now, request, 0, policy.Succeeded, 0.01)
 	if decision.Endpoint == 1 {
 		return
 	}
--- a/internal/policy/config.go
+++ b/internal/policy/config.go
@@ -32,9 +32,7 @@
 	OneWayKeys           bool      // once a build has answered a key, requests with this key go to no earlier build
 	MaxRememberedKeys    int       // maximum number of keys remembered for OneWayKeys; 0: no limit
 
-	// ForgetEndpointSeconds is the time after which an endpoint that left the list is removed from memory; 0: never. It
-	// must exceed every request timeout, since retries look up the endpoints of earlier attempts (unresponsive,
-	// leavesDedupScope).
+	// ForgetEndpointSeconds is the time after which an endpoint that left the list is removed from memory; 0: never.
 	ForgetEndpointSeconds float64
 	HasController         bool // a controller votes and leases the free canary attempts (ApplyAssignment)
 
--- a/internal/policy/helper_test.go
+++ b/internal/policy/helper_test.go
@@ -63,21 +63,15 @@
 
 // apply updates a request as the caller of a Balancer must after a decision.
 func (f *fleet) apply(r *Request, decision Decision) Decision {
-	switch decision.Action {
-	case Send:
-		r.Attempts = append(r.Attempts, Attempt{Endpoint: decision.Endpoint, StartedAt: f.now, InFlight: true})
-	case Reject, Fail:
-		r.Completed = true
-	}
+	r.Completed = r.Completed || decision.Action == Reject || decision.Action == Fail
 	return decision
 }
 
 // answer ends the last attempt of a request.
 func (f *fleet) answer(r *Request, outcome Outcome) Decision {
-	attempt := &r.Attempts[len(r.Attempts)-1]
-	attempt.InFlight, attempt.MayHaveRun = false, outcome != Overloaded && outcome != NotConnected && outcome != NotSent
+	last := len(r.Attempts) - 1
 	r.Completed = r.Completed || outcome == Succeeded
-	return f.apply(r, f.b.OnAttemptDone(f.now, r, attempt.Endpoint, outcome, f.now-attempt.StartedAt))
+	return f.apply(r, f.b.OnAttemptDone(f.now, r, last, outcome, f.now-r.Attempts[last].StartedAt))
 }
 
 // run sends n idempotent requests at even intervals over the given seconds; outcome determines how each attempt ends
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -84,7 +84,8 @@
 	return Decision{Action: Hold, PickAgainAt: min(now+holdIntervalSeconds, r.lastAttemptEnd())}
 }
 
-// send accounts for a new attempt at an endpoint. The decision says when to pick again if the endpoint does not answer.
+// send adds a new attempt at an endpoint to the request and accounts for it. The decision says when to pick again if the
+// endpoint does not answer.
 func (b *Balancer) send(now float64, r *Request, e *endpoint) Decision {
 	if len(r.Attempts) > 0 && !r.LastAttemptUndelivered { // an attempt that did not reach its endpoint has caused no load
 		b.retryTokens--
@@ -101,6 +102,7 @@
 		b.canaryAttemptsAt[i] = append(b.canaryAttemptsAt[i], now)
 	}
 	e.slowStartTokens -= r.Work
+	r.Attempts = append(r.Attempts, Attempt{Endpoint: e.id, StartedAt: now, InFlight: true, sentTo: e, zone: e.zone, cell: e.cell})
 	class := r.class()
 	decision := Decision{Action: Send, Endpoint: e.id, AttemptDeadline: r.lastAttemptEnd()}
 	pickAgainAt := now + b.attemptTimeout(r)
@@ -110,11 +112,13 @@
 	return decision
 }
 
-// OnAttemptDone records the outcome and the duration, in seconds, of an attempt at an endpoint, and decides what
-// follows. The caller must have updated the request's Attempts before.
-func (b *Balancer) OnAttemptDone(now float64, r *Request, endpointID uint32, outcome Outcome, duration float64) Decision {
+// OnAttemptDone records the outcome and the duration, in seconds, of an attempt in flight, which is given by its index
+// in the request's Attempts, and decides what follows.
+func (b *Balancer) OnAttemptDone(now float64, r *Request, index int, outcome Outcome, duration float64) Decision {
 	b.detectStall(now)
-	e := b.endpointByID[endpointID]
+	attempt := &r.Attempts[index]
+	attempt.InFlight, attempt.MayHaveRun = false, outcome.MayHaveRun()
+	e := attempt.sentTo
 	b.recordConnection(now, e, outcome)
 	r.LastAttemptUndelivered = outcome == NotConnected || outcome == NotSent
 	e.inFlight--
@@ -195,7 +199,7 @@
 // eligible reports whether a request may be sent to an endpoint at all, whatever its load.
 func (b *Balancer) eligible(now float64, r *Request, e *endpoint) bool {
 	for i := range r.Attempts {
-		if b.mustAvoid(r, &r.Attempts[i], e) || b.leavesDedupScope(r, &r.Attempts[i], e) {
+		if b.mustAvoid(r, &r.Attempts[i], e) || r.leavesDedupScope(&r.Attempts[i], e) {
 			return false
 		}
 	}
@@ -205,7 +209,7 @@
 // mustAvoid reports whether an attempt is in flight at an endpoint or, without hedging, is the request's only one so
 // far and may have run there: another endpoint is likelier to succeed. Later retries may use the endpoint again.
 func (b *Balancer) mustAvoid(r *Request, attempt *Attempt, e *endpoint) bool {
-	if b.endpointByID[attempt.Endpoint] != e {
+	if attempt.Endpoint != e.id {
 		return false
 	}
 	onlyAttempt := !r.Config.AllowHedging && len(b.endpoints) > 1 && attempt.MayHaveRun && len(r.Attempts) == 1
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -1,7 +1,8 @@
 package policy
 
-// Request is the state of a request until its last attempt has ended. The caller owns it, appends an Attempt for each
-// Send, and updates it as attempts end; Pick sets Config and FirstTriedAt and normalises Work.
+// Request is the state of a request until its last attempt has ended. The caller owns it, but changes no Attempts: Pick
+// and OnAttemptDone append one for each Send, and OnAttemptDone ends it. The first Pick sets Config and FirstTriedAt and
+// normalises Work.
 type Request struct {
 	ID                     uint32
 	Class                  int     // index into Config.Classes
@@ -18,12 +19,16 @@
 	Attempts               []Attempt
 }
 
-// Attempt is one attempt to send a request to an endpoint.
+// Attempt is one attempt to send a request to an endpoint. It keeps what later decisions need to know of the endpoint:
+// by then the endpoint may have left the list and been forgotten, or be listed in another zone or cell.
 type Attempt struct {
 	Endpoint   uint32
 	StartedAt  float64
 	InFlight   bool // no outcome yet
 	MayHaveRun bool // valid once it has ended: the endpoint may have executed the request
+
+	sentTo     *endpoint
+	zone, cell uint16 // of the endpoint when the attempt was sent
 }
 
 // Outcome is how an attempt ended.
@@ -59,7 +64,7 @@
 // The actions.
 const (
 	NoAction Action = iota
-	Send            // start an attempt at Decision.Endpoint
+	Send            // carry out the new attempt, at Decision.Endpoint
 	Hold            // call Pick again at Decision.PickAgainAt
 	Reject          // final answer: a retry is harmless, after Decision.RetryAfterSeconds
 	Fail            // final answer: the request may have run
@@ -68,7 +73,7 @@
 // Decision is the result of Pick and OnAttemptDone.
 type Decision struct {
 	Action            Action
-	Endpoint          uint32
+	Endpoint          uint32  // with Send; the attempt is the last of the request's Attempts
 	AttemptDeadline   float64 // when the attempt must be abandoned
 	PickAgainAt       float64 // when to call Pick again; no call is due if 0 or not before the request's deadline
 	RetryAfterSeconds float64
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -59,17 +59,16 @@
 }
 
 // leavesDedupScope reports whether an endpoint would not recognise the key of an attempt that may have run.
-func (b *Balancer) leavesDedupScope(r *Request, attempt *Attempt, e *endpoint) bool {
+func (r *Request) leavesDedupScope(attempt *Attempt, e *endpoint) bool {
 	class := r.class()
 	if class.Idempotency != IdempotentWithKey || !attempt.InFlight && !attempt.MayHaveRun {
 		return false
 	}
-	earlier := b.endpointByID[attempt.Endpoint]
 	switch class.DedupScope {
 	case DedupZone:
-		return earlier.zone != e.zone
+		return attempt.zone != e.zone
 	case DedupCell:
-		return earlier.cell != e.cell
+		return attempt.cell != e.cell
 	}
 	return false
 }
@@ -124,7 +123,7 @@
 		if !attempt.InFlight {
 			continue
 		}
-		e := b.endpointByID[attempt.Endpoint]
+		e := attempt.sentTo
 		waitUntil := max(attempt.StartedAt, b.resumedAt) + b.attemptTimeout(r)*(1+1/float64(e.inFlight)) - timeToleranceSeconds
 		if e.lastAnswerAt > attempt.StartedAt || now < waitUntil {
 			return false
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -51,17 +51,17 @@
 // inFlight reports whether the attempt has not ended. The caller holds Proxy.mu.
 func (a *attempt) inFlight() bool { return a.request.Attempts[a.index].InFlight }
 
-// startAttempt records a new attempt of a request. The caller holds p.mu.
+// startAttempt creates the proxy's state of an attempt that the balancer has just added to a request. The caller holds
+// p.mu.
 func (p *Proxy) startAttempt(now float64, request *request, decision policy.Decision) *attempt {
 	p.stats.Attempts++
 	attempt := &attempt{
 		request:    request,
-		index:      len(request.Attempts),
+		index:      len(request.attempts),
 		endpointID: decision.Endpoint,
 		startedAt:  now,
 		deadline:   decision.AttemptDeadline,
 	}
-	request.Attempts = append(request.Attempts, policy.Attempt{Endpoint: decision.Endpoint, StartedAt: now, InFlight: true})
 	request.attempts = append(request.attempts, attempt)
 	return attempt
 }
@@ -86,10 +86,6 @@
 	outcome = attempt.settleOutcome(outcome)
 	attempt.outcome = outcome
 	p.stats.Outcomes[outcome]++
-	record := &request.Attempts[attempt.index]
-	record.InFlight = false
-	record.MayHaveRun = outcome.MayHaveRun()
-	request.releaseMemory()
 	if conn := attempt.conn; conn != nil {
 		attempt.conn = nil
 		if conn.attempt == attempt {
@@ -98,13 +94,14 @@
 		}
 	}
 	decision := p.onAttemptDone(now, attempt)
+	request.releaseMemory()
 	p.applyDecision(now, request, decision, effects)
 }
 
 // onAttemptDone reports an attempt's outcome to the balancer and returns the next decision. The caller holds p.mu.
 func (p *Proxy) onAttemptDone(now float64, attempt *attempt) policy.Decision {
 	start := time.Now()
-	decision := p.balancer.OnAttemptDone(now, &attempt.request.Request, attempt.endpointID, attempt.outcome, now-attempt.startedAt)
+	decision := p.balancer.OnAttemptDone(now, &attempt.request.Request, attempt.index, attempt.outcome, now-attempt.startedAt)
 	p.countPolicyCall(start)
 	return decision
 }
--- a/internal/proxy/bench_test.go
+++ b/internal/proxy/bench_test.go
@@ -226,9 +226,8 @@
 	serveRequest := func(balancer *policy.Balancer, now float64) {
 		request := &policy.Request{ReceivedAt: now, Deadline: now + 0.7}
 		if decision := balancer.Pick(now, request); decision.Action == policy.Send {
-			request.Attempts = append(request.Attempts, policy.Attempt{Endpoint: decision.Endpoint, StartedAt: now, MayHaveRun: true})
 			request.Completed = true
-			balancer.OnAttemptDone(now, request, decision.Endpoint, policy.Succeeded, 0.001)
+			balancer.OnAttemptDone(now, request, 0, policy.Succeeded, 0.001)
 		}
 	}
 	for _, workers := range []int{1, 64} {
--- a/internal/simadapter/codes.go
+++ b/internal/simadapter/codes.go
@@ -53,19 +53,16 @@
 	return 0, false
 }
 
-// attemptOutcomes holds, by code, the outcome of an attempt and whether its endpoint may have executed the request.
-var attemptOutcomes = [...]struct {
-	outcome    policy.Outcome
-	mayHaveRun bool
-}{
-	{policy.ServerError, true},
-	{policy.Succeeded, true},
-	{policy.Overloaded, false},
-	{policy.TimedOut, true},
-	{policy.NotConnected, false},
-	{policy.ConnectionLost, true},
-	{policy.Cancelled, true},
-	{policy.NotSent, false},
+// attemptOutcomes holds, by code, the outcome of an attempt.
+var attemptOutcomes = [...]policy.Outcome{
+	policy.ServerError,
+	policy.Succeeded,
+	policy.Overloaded,
+	policy.TimedOut,
+	policy.NotConnected,
+	policy.ConnectionLost,
+	policy.Cancelled,
+	policy.NotSent,
 }
 
 // statusOK is the status of a release event that contains a release state.
--- a/internal/simadapter/instance.go
+++ b/internal/simadapter/instance.go
@@ -72,10 +72,8 @@
 	if request == nil || event.attempt >= len(request.Attempts) || !request.Attempts[event.attempt].InFlight {
 		return nil
 	}
-	attempt, done := &request.Attempts[event.attempt], attemptOutcomes[event.outcomeCode]
-	attempt.InFlight, attempt.MayHaveRun = false, done.mayHaveRun
 	request.Completed = request.Completed || event.requestEnded
-	i.execute(request, i.balancer.OnAttemptDone(i.now, request, attempt.Endpoint, done.outcome, event.latencySeconds))
+	i.execute(request, i.balancer.OnAttemptDone(i.now, request, event.attempt, attemptOutcomes[event.outcomeCode], event.latencySeconds))
 	i.setPickTimer()
 	return nil
 }
@@ -149,7 +147,6 @@
 	switch decision.Action {
 	case policy.Send:
 		i.actions.send(i.id, request.ID, decision.Endpoint, decision.AttemptDeadline)
-		request.Attempts = append(request.Attempts, policy.Attempt{Endpoint: decision.Endpoint, StartedAt: i.now, InFlight: true})
 	case policy.Reject:
 		i.actions.reject(i.id, request.ID, decision.RetryAfterSeconds)
 		request.Completed = true
