Policy: an endpoint that left the list keeps its build, zone and start

What callers saw: with a full list that no longer names an endpoint, requests that were in flight there were retried outside their zone or cell, keys went back to an earlier build, errors of a canary counted for the baseline, and an endpoint in slow start that left the list for a moment got its whole allowance again, 129 attempts in 2 s where 105 are allowed.

Cause: the entry of an endpoint that is gone holds only its id, but the balancer took zone, cell, build and start from it, each 0.

Change: such an entry ends that the endpoint is ready, and nothing else. Unknown endpoints are no longer added by it.

Evidence: TestKeyAnsweredByEndpointThatLeft, TestOutcomeOfEndpointThatLeftCountsForItsBuild and TestSlowStartOfEndpointThatLeavesAndReturns failed before this change.

--- /dev/null
+++ b/internal/policy/endpoint_lifecycle_test.go
@@ -0,0 +1,144 @@
+package policy
+
+import "testing"
+
+// pickUntilEndpoint sends requests of a class until one is sent to the given endpoint, and returns it. The others succeed.
+func (f *fleet) pickUntilEndpoint(t *testing.T, class int, endpointID uint32) *Request {
+	t.Helper()
+	for range 1000 {
+		r, decision := f.request(class)
+		switch {
+		case decision.Action != Send:
+			t.Fatalf("request was not sent: %v", decision)
+		case decision.Endpoint == endpointID:
+			return r
+		}
+		f.answer(r, Succeeded)
+	}
+	t.Fatalf("no request was sent to endpoint %d", endpointID)
+	return nil
+}
+
+// tickFor ticks for the given seconds.
+func (f *fleet) tickFor(seconds float64) {
+	for end := f.now + seconds; f.now < end; {
+		f.now += f.b.TickAndVote(f.now).NextTickSeconds
+	}
+}
+
+// Guards against a crash: an attempt failed at an endpoint that left the list, a configuration version with a shorter time
+// to remember endpoints came into force, and the endpoint was forgotten while the request still looked for another one.
+func TestEndpointIsForgottenWhileRequestIsHeld(t *testing.T) {
+	withForgetSeconds := func(seconds float64) *Config {
+		f := newFleet(func(config *Config) {
+			config.Classes[1].LatencyObjectiveSeconds, config.Classes[1].DedupScope, config.Classes[1].DedupWindowSeconds = 8, DedupCell, 12
+			config.ForgetEndpointSeconds = seconds
+		})
+		return f.b.config
+	}
+	f := newFleet(nil)
+	f.b.SetConfig(withForgetSeconds(600))
+	f.list(true, endpointEntry{id: 1, build: 7}, endpointEntry{id: 2, build: 7}, endpointEntry{id: 4, build: 7}) // only 1 is in cell 1
+	r := f.pickUntilEndpoint(t, 1, 1)
+	r.Deadline = f.now + 10
+	f.list(true, endpointEntry{id: 2, build: 7}, endpointEntry{id: 4, build: 7})
+	f.b.SetConfig(withForgetSeconds(1))
+	f.now += 0.1
+	decision := f.answer(r, ServerError)
+	for seconds := 0.0; decision.Action == Hold && seconds < 10; seconds += 0.1 {
+		f.tickFor(0.1)
+		decision = f.pick(r)
+	}
+	if len(f.b.endpoints) != 2 {
+		t.Errorf("%d endpoints are remembered, want 2", len(f.b.endpoints))
+	}
+	if decision.Action != Fail || len(r.Attempts) != 1 {
+		t.Errorf("decision %v after %d attempts, want fail after 1", decision, len(r.Attempts))
+	}
+}
+
+// remove removes endpoints with an update as it results from a full list that no longer names them: the entries hold
+// nothing but the id.
+func (f *fleet) remove(ids ...uint32) {
+	f.b.BeginEndpointList(false)
+	for _, id := range ids {
+		f.b.UpdateEndpoint(id, 0, 0, 0, Gone, 0, 0)
+	}
+	f.b.EndEndpointList(f.now)
+}
+
+// Guards against a second effect: the entry of an endpoint that left the list holds no cell, and a retry was sent to the
+// endpoints of cell 0, which do not recognise the key.
+func TestRetryStaysInCellOfEndpointThatLeft(t *testing.T) {
+	f := newFleet(func(config *Config) { config.Classes[1].DedupScope = DedupCell })
+	f.list(true, endpointEntry{id: 1, build: 7}, endpointEntry{id: 2, build: 7}, endpointEntry{id: 4, build: 7}) // only 1 is in cell 1
+	r := f.pickUntilEndpoint(t, 1, 1)
+	f.remove(1)
+	f.now += 0.02
+	if decision := f.answer(r, ServerError); decision.Action != Hold {
+		t.Errorf("decision %v, endpoint %d; want the request to be held", decision, decision.Endpoint)
+	}
+}
+
+// Guards against a key that goes back to an earlier build: the answer of a canary that had left the list meanwhile was
+// remembered as that of build 0, the build of its last entry.
+func TestKeyAnsweredByEndpointThatLeft(t *testing.T) {
+	f := newFleet(func(config *Config) { config.OneWayKeys, config.CanaryLimits = true, []float64{1, 1, 1} })
+	f.list(true, endpointEntry{id: 5, build: 8})
+	f.b.ApplyRelease(f.now, 8, 2, PhaseCanary, 1, 0)
+	const key = 99
+	send := func() (*Request, Decision) {
+		r := &Request{Key: key, ReceivedAt: f.now, Deadline: f.now + 0.8}
+		return r, f.pick(r)
+	}
+	r, _ := send()
+	f.list(false, endpointEntry{id: 1, build: 7})
+	f.remove(5)
+	f.now += 0.02
+	f.answer(r, Succeeded)
+	if _, decision := send(); decision.Action != Hold {
+		t.Errorf("decision %v, endpoint %d; want the request to be held, since only build 7 is left", decision, decision.Endpoint)
+	}
+}
+
+// Guards against evidence on the wrong build: the errors of a canary that had left the list meanwhile were counted as those
+// of build 0, and so of the baseline.
+func TestOutcomeOfEndpointThatLeftCountsForItsBuild(t *testing.T) {
+	f := newFleet(nil)
+	f.list(true, endpointEntry{id: 5, build: 8})
+	f.b.ApplyRelease(f.now, 8, 2, PhaseCanary, 1, 0)
+	r, _ := f.request(0)
+	f.remove(5)
+	f.now += 0.02
+	f.answer(r, ServerError)
+	samples := f.b.LocalEvidence(f.now).Samples
+	if len(samples) != 1 || samples[0].Endpoint != 5 || samples[0].Build != 8 || samples[0].Failures[serverError] != 1 {
+		t.Errorf("samples %+v, want one error of endpoint 5 with build 8", samples)
+	}
+}
+
+// Guards against an overloaded endpoint in slow start: each time it left the list and came back, it counted as restarted, and
+// its whole allowance could be spent again.
+func TestSlowStartOfEndpointThatLeavesAndReturns(t *testing.T) {
+	const requestsPerSecond, seconds, endpoints = 100.0, 2.0, 4
+	f := newFleet(nil)
+	f.run(400, 4, succeed)
+	startedAt := f.now
+	attempts := 0
+	for range int(seconds / 0.1) {
+		f.list(false, endpointEntry{id: 4, build: 7, startedAt: startedAt})
+		f.run(int(requestsPerSecond*0.1), 0.1, func(endpointID uint32, _ int) (Outcome, float64) {
+			attempts += boolToInt(endpointID == 4)
+			// Only the endpoint in slow start succeeds, so that its cost is far lower than that of the others.
+			return [...]Outcome{Overloaded, Succeeded}[boolToInt(endpointID == 4)], 0.001
+		})
+		f.remove(4)
+	}
+	// The rule's allowance: a multiple of the mean traffic of an endpoint, times the share of its capacity that it has.
+	initial := f.b.config.SlowStartInitialShare
+	share := initial + (1-initial)*seconds/f.b.config.SlowStartSeconds
+	allowed := f.b.config.SlowStartOverloadFactor * share * requestsPerSecond / endpoints * seconds
+	if float64(attempts) > allowed {
+		t.Errorf("%d attempts in %g s, allowed %.1f", attempts, seconds, allowed)
+	}
+}
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -56,9 +56,16 @@
 	}
 }
 
-// UpdateEndpoint applies one entry of the current update. A weight of 0 counts as 1.
+// UpdateEndpoint applies one entry of the current update. A weight of 0 counts as 1. An entry that is Gone says nothing but
+// that: its other values are ignored, since a list that no longer names the endpoint has none.
 func (b *Balancer) UpdateEndpoint(id uint32, zone, cell uint16, build int, state EndpointState, weight, startedAt float64) {
 	e := b.endpointByID[id]
+	if state == Gone {
+		if e != nil {
+			e.ready = false
+		}
+		return
+	}
 	if e == nil {
 		e = b.addEndpoint(id, build, startedAt)
 	}
