Policy: a restarted endpoint is another process; attempts keep theirs

What callers saw: after an endpoint was restarted, replaced in place or moved under an attempt in flight, keyed requests were retried in another zone or cell, keys that a canary had answered went back to an earlier build, lost attempts counted against the new process and its build, and requests waited for a process that was gone.

Cause: one record an endpoint id, which a restart or a move overwrote under the attempts that refer to it.

Change: each process has its own record, with a reference to the one that replaced it. Effects and keys heed every process that may have received the attempt by what the list says now, since the list may be late; health and evidence go to the one that most likely did. An endpoint is not forgotten before the deadlines of the requests that were sent to it.

--- a/internal/policy/analysis.go
+++ b/internal/policy/analysis.go
@@ -26,7 +26,7 @@
 // baseline alike, because they repeat requests that are already counted.
 func (b *Balancer) includeInAnalysis(now float64, r *Request, e *endpoint, startedAt float64) bool {
 	isRetry := r.ClientRetry || len(r.Attempts) > 1
-	sameProcess := startedAt >= e.startedAt
+	sameProcess := startedAt >= e.startedAt && e.replacedBy == nil // a restart is no failure of the build
 	settled := now-e.startedAt >= settleSeconds
 	return !isRetry && sameProcess && settled && b.release.known && e.build <= b.release.build
 }
--- a/internal/policy/endpoint_lifecycle_test.go
+++ b/internal/policy/endpoint_lifecycle_test.go
@@ -142,3 +142,122 @@
 		t.Errorf("%d attempts in %g s, allowed %.1f", attempts, seconds, allowed)
 	}
 }
+
+// place lists one endpoint as ready, in a cell.
+func (f *fleet) place(id uint32, cell uint16, build int, startedAt float64) {
+	f.b.BeginEndpointList(false)
+	f.b.UpdateEndpoint(id, 0, cell, build, Ready, 1, startedAt)
+	f.b.EndEndpointList(f.now)
+}
+
+// Guards against a second effect: an endpoint was listed in another cell after an attempt that may have run there, and the
+// retry went to that cell. Where the list is late, the attempt may have run in either cell.
+func TestRetryAfterEndpointWasListedInAnotherCell(t *testing.T) {
+	const sentAt, failedAt = 100.1, 100.2
+	for _, test := range []struct {
+		name      string
+		build     int
+		startedAt float64
+		want      uint32 // endpoint of the retry; 0: none
+	}{
+		{"moved", 7, 50, 0},
+		{"restarted before the attempt, the list was late", 7, sentAt - 0.05, 0},
+		{"restarted during the attempt", 7, sentAt + 0.05, 0},
+		{"replaced by another build at an unknown time", 8, 0, 0},
+		{"restarted after the attempt", 7, failedAt + 0.05, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(func(config *Config) {
+				config.Classes[1].DedupScope, config.Classes[1].DedupWindowSeconds = DedupCell, 10
+			})
+			f.list(true)
+			f.place(1, 1, 7, 50)
+			f.now = sentAt
+			r, _ := f.request(1)
+			f.now = failedAt
+			decision := f.answer(r, ServerError) // there is no other endpoint
+			f.now += 0.1
+			f.place(1, 2, test.build, test.startedAt)
+			f.place(2, 1, 7, 50)
+			f.place(3, 2, 7, 50)
+			if decision.Action == Hold {
+				decision = f.pick(r)
+			}
+			if decision.Endpoint != test.want {
+				t.Errorf("decision %v, endpoint %d, want endpoint %d", decision, decision.Endpoint, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a key that goes back to an earlier build: the answer of a canary that had been replaced in place meanwhile
+// was remembered as that of its successor.
+func TestKeyAnsweredByProcessThatWasReplaced(t *testing.T) {
+	f := newFleet(func(config *Config) { config.OneWayKeys = true })
+	f.list(true, endpointEntry{id: 5, build: 8, startedAt: 50})
+	f.b.ApplyRelease(f.now, 8, 2, PhaseCanary, 1, 0)
+	r := &Request{Key: 99, ReceivedAt: f.now, Deadline: f.now + 0.8}
+	f.pick(r)
+	f.list(false, endpointEntry{id: 5, build: 7, startedAt: f.now})
+	f.now += 0.02
+	f.answer(r, Succeeded)
+	if build := f.b.buildByKey[99]; build != 8 {
+		t.Errorf("the key is remembered as answered by build %d, want 8", build)
+	}
+}
+
+// Guards against judging a restarted endpoint by its previous process: attempts that were lost when the endpoint was restarted
+// counted as failures of the new process, for its health and for its build.
+func TestOutcomeOfReplacedProcess(t *testing.T) {
+	for _, startedAt := range []float64{0, 102} { // 0: the list does not say when
+		f := newFleet(nil)
+		f.list(true, endpointEntry{id: 5, build: 7, startedAt: 50})
+		f.b.ApplyRelease(f.now, 8, 2, PhaseCanary, 1, 0)
+		f.now = 101
+		r, _ := f.request(0)
+		f.tickFor(9)
+		f.list(false, endpointEntry{id: 5, build: 8, startedAt: startedAt})
+		f.answer(r, ConnectionLost)
+		if score := f.b.outlierScore(f.now, f.b.endpointByID[5]); score != 0 {
+			t.Errorf("start %g: the new process has outlier score %g, want 0", startedAt, score)
+		}
+		if samples := f.b.LocalEvidence(f.now).Samples; len(samples) != 0 {
+			t.Errorf("start %g: samples %+v, want none", startedAt, samples)
+		}
+	}
+}
+
+// An outcome counts for the process that a late list names, if that had started before the attempt was sent.
+func TestOutcomeUnderLateList(t *testing.T) {
+	f := newFleet(nil)
+	f.list(true, endpointEntry{id: 5, build: 7, startedAt: 50})
+	f.b.ApplyRelease(f.now, 8, 2, PhaseCanary, 1, 0)
+	f.now = 103
+	r, _ := f.request(0)
+	f.now = 104
+	f.list(false, endpointEntry{id: 5, build: 8, startedAt: 101})
+	f.answer(r, ServerError)
+	if score := f.b.outlierScore(f.now, f.b.endpointByID[5]); score != failureWeight {
+		t.Errorf("outlier score %g, want %g", score, failureWeight)
+	}
+	samples := f.b.LocalEvidence(f.now).Samples
+	if len(samples) != 1 || samples[0].Build != 8 || samples[0].Failures[serverError] != 1 {
+		t.Errorf("samples %+v, want one error of build 8", samples)
+	}
+}
+
+// Guards against a request that waits for a process which no longer exists: answers of its successor counted as a sign that
+// the attempt was still being worked on.
+func TestAttemptAtReplacedProcessIsUnresponsive(t *testing.T) {
+	f := newFleet(func(config *Config) { config.Classes[0].LatencyObjectiveSeconds = 0.6 })
+	f.run(40, 2, succeed)
+	f.list(true, endpointEntry{id: 1, build: 7, startedAt: 50})
+	r, decision := f.request(0)
+	f.now += 0.01
+	f.list(true, endpointEntry{id: 1, build: 7, startedAt: f.now}, endpointEntry{id: 2, build: 7})
+	f.tickFor(2 * (decision.PickAgainAt - f.now))
+	f.b.endpointByID[1].lastAnswerAt = f.now - 0.01
+	if decision := f.pick(r); !decision.CancelInFlight {
+		t.Errorf("decision %v, want cancel", decision)
+	}
+}
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -18,18 +18,22 @@
 	Gone
 )
 
-// endpoint holds what a balancer knows about one endpoint.
+// endpoint holds what a balancer knows about one process of an endpoint. When the list shows that the endpoint was
+// restarted, another process takes its place, and only the attempts that were sent to this one still refer to it.
 type endpoint struct {
 	id            uint32
 	rank          float64 // sort key of the endpoints, from this balancer's seed and the id
 	zone, cell    uint16
+	moves         int // how often zone or cell have changed
 	build         int
 	weight        float64
 	startedAt     float64
 	ready         bool
-	listed        bool    // in the list, as far as the update in progress has been applied
-	previousBuild int     // build of the endpoint's previous process
-	notReadySince float64 // when it ceased to be ready; 0 while it is
+	listed        bool      // in the list, as far as the update in progress has been applied
+	previousBuild int       // build of the endpoint's previous process
+	replacedBy    *endpoint // the next process in its place; nil: none
+	notReadySince float64   // when it ceased to be ready; 0 while it is
+	neededUntil   float64   // latest deadline of the requests that were sent to it or to an earlier process
 
 	inFlight     int     // attempts of this balancer
 	workInFlight float64 // work of these attempts
@@ -66,33 +70,40 @@
 		}
 		return
 	}
-	if e == nil {
-		e = b.addEndpoint(id, build, startedAt)
-	}
-	if startedAt != e.startedAt || build != e.build { // the endpoint was restarted
-		e.previousBuild = e.build
-		e.failures, e.wrongMark, e.degradedMark = decayingShare{}, decayingShare{}, decayingShare{}
-		e.latencyRatio = 0
-		e.slowStartTokens, e.slowStartTokensAt = b.initialSlowStartTokens(), startedAt
+	switch {
+	case e == nil:
+		e = b.newProcess(id, zone, cell, build, startedAt)
+		b.endpoints = slices.Insert(b.endpoints, b.position(e), e)
+	case startedAt != e.startedAt || build != e.build:
+		restarted := b.newProcess(id, zone, cell, build, startedAt)
+		restarted.previousBuild, restarted.neededUntil = e.build, e.neededUntil
+		e.replacedBy = restarted
+		b.endpoints[b.position(e)] = restarted
+		e = restarted
+	case zone != e.zone || cell != e.cell:
+		e.zone, e.cell = zone, cell
+		e.moves++
 	}
 	if weight <= 0 {
 		weight = 1
 	}
-	e.zone, e.cell, e.build, e.weight, e.startedAt = zone, cell, build, weight, startedAt
-	e.ready, e.listed = state == Ready, true
+	e.weight, e.ready, e.listed = weight, state == Ready, true
 }
 
-// addEndpoint inserts a new endpoint by its rank.
-func (b *Balancer) addEndpoint(id uint32, build int, startedAt float64) *endpoint {
-	e := &endpoint{id: id, rank: b.random.numberFor(uint64(id)), previousBuild: build, build: build, startedAt: startedAt,
-		slowStartTokens: b.initialSlowStartTokens(), slowStartTokensAt: startedAt}
+// newProcess creates a process of an endpoint, and makes it the current one.
+func (b *Balancer) newProcess(id uint32, zone, cell uint16, build int, startedAt float64) *endpoint {
+	e := &endpoint{id: id, rank: b.random.numberFor(uint64(id)), zone: zone, cell: cell, previousBuild: build, build: build,
+		startedAt: startedAt, slowStartTokens: b.initialSlowStartTokens(), slowStartTokensAt: startedAt}
 	b.endpointByID[id] = e
-	at := sort.Search(len(b.endpoints), func(i int) bool {
+	return e
+}
+
+// position returns the index in endpoints of the process of an endpoint, or the one at which to insert it.
+func (b *Balancer) position(e *endpoint) int {
+	return sort.Search(len(b.endpoints), func(i int) bool {
 		other := b.endpoints[i]
-		return other.rank > e.rank || other.rank == e.rank && other.id > e.id
+		return other.rank > e.rank || other.rank == e.rank && other.id >= e.id
 	})
-	b.endpoints = slices.Insert(b.endpoints, at, e)
-	return e
 }
 
 // EndEndpointList ends an update: endpoints that a full update did not name are no longer ready.
@@ -116,11 +127,14 @@
 // the basis of a list that is too old: its canary endpoints may be gone by now.
 func (b *Balancer) SetEndpointListAge(seconds float64) { b.endpointListAge = seconds }
 
-// forgetEndpoints removes endpoints that left the list long ago. Their counts are merged under endpoint 0: if they were
-// discarded, replacing the baseline endpoints one by one would leave no counts to compare the canary with.
+// forgetEndpoints removes endpoints that left the list long ago and to which no request was sent that may still be in
+// flight: if one is listed again, it is to be known as another process of the same endpoint. The counts of the removed ones
+// are merged under endpoint 0: if they were discarded, replacing the baseline endpoints one by one would leave no counts
+// to compare the canary with.
 func (b *Balancer) forgetEndpoints(now float64) {
 	forgotten := func(e *endpoint) bool {
-		return b.config.ForgetEndpointSeconds > 0 && !e.ready && e.inFlight == 0 && now-e.notReadySince > b.config.ForgetEndpointSeconds
+		needed := e.ready || e.inFlight > 0 || now <= e.neededUntil
+		return b.config.ForgetEndpointSeconds > 0 && !needed && now-e.notReadySince > b.config.ForgetEndpointSeconds
 	}
 	if !slices.ContainsFunc(b.endpoints, forgotten) {
 		return
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -102,7 +102,8 @@
 		b.canaryAttemptsAt[i] = append(b.canaryAttemptsAt[i], now)
 	}
 	e.slowStartTokens -= r.Work
-	r.Attempts = append(r.Attempts, Attempt{Endpoint: e.id, StartedAt: now, InFlight: true, sentTo: e, zone: e.zone, cell: e.cell})
+	r.Attempts = append(r.Attempts, Attempt{Endpoint: e.id, StartedAt: now, InFlight: true, sentTo: e, moves: e.moves})
+	e.neededUntil = max(e.neededUntil, r.Deadline)
 	class := r.class()
 	decision := Decision{Action: Send, Endpoint: e.id, AttemptDeadline: r.lastAttemptEnd()}
 	pickAgainAt := now + b.attemptTimeout(r)
@@ -117,18 +118,20 @@
 func (b *Balancer) OnAttemptDone(now float64, r *Request, index int, outcome Outcome, duration float64) Decision {
 	b.detectStall(now)
 	attempt := &r.Attempts[index]
-	attempt.InFlight, attempt.MayHaveRun = false, outcome.MayHaveRun()
-	e := attempt.sentTo
-	b.recordConnection(now, e, outcome)
+	attempt.InFlight, attempt.MayHaveRun, attempt.endedAt = false, outcome.MayHaveRun(), now
+	receiver := attempt.receivedBy()
+	b.recordConnection(now, receiver, outcome)
 	r.LastAttemptUndelivered = outcome == NotConnected || outcome == NotSent
-	e.inFlight--
-	e.workInFlight -= r.Work
+	attempt.sentTo.inFlight--
+	attempt.sentTo.workInFlight -= r.Work
 	b.inFlight--
 	if outcome != NotSent && (outcome != Cancelled || !r.Completed) {
-		b.recordOutcome(now, r, e, outcome, duration)
+		b.recordOutcome(now, r, receiver, outcome, duration)
 	}
 	if outcome == Succeeded && b.config.OneWayKeys && r.Key != 0 {
-		b.rememberKey(r.Key, e.build)
+		for e := range attempt.mayHaveReached() {
+			b.rememberKey(r.Key, e.build)
+		}
 	}
 	if r.Completed {
 		return Decision{CancelInFlight: b.config.AllowCancel} // by the current configuration, not the request's own
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -1,5 +1,7 @@
 package policy
 
+import "iter"
+
 // Request is the state of a request until its last attempt has ended. The caller owns it, but changes no Attempts: Pick
 // and OnAttemptDone append one for each Send, and OnAttemptDone ends it. The first Pick sets Config and FirstTriedAt and
 // normalises Work.
@@ -20,15 +22,41 @@
 }
 
 // Attempt is one attempt to send a request to an endpoint. It keeps what later decisions need to know of the endpoint:
-// by then the endpoint may have left the list and been forgotten, or be listed in another zone or cell.
+// by then the endpoint may have left the list and been forgotten, or be listed as restarted or in another zone or cell.
 type Attempt struct {
 	Endpoint   uint32
 	StartedAt  float64
 	InFlight   bool // no outcome yet
 	MayHaveRun bool // valid once it has ended: the endpoint may have executed the request
 
-	sentTo     *endpoint
-	zone, cell uint16 // of the endpoint when the attempt was sent
+	endedAt float64
+	sentTo  *endpoint // the endpoint's process by the list at that time
+	moves   int       // sentTo.moves at that time
+}
+
+// mayHaveReached returns an iterator over the processes that may have received an attempt. They are the one that it was sent
+// to and, because the list may be late, those that were listed in its place since but had started before it ended.
+func (a *Attempt) mayHaveReached() iter.Seq[*endpoint] {
+	return func(yield func(*endpoint) bool) {
+		for e := a.sentTo; e != nil; e = e.replacedBy {
+			startedInTime := e == a.sentTo || a.InFlight || e.startedAt <= a.endedAt
+			if startedInTime && !yield(e) {
+				return
+			}
+		}
+	}
+}
+
+// receivedBy returns the process that most likely received an attempt: the newest that is known to have started before the
+// attempt was sent.
+func (a *Attempt) receivedBy() *endpoint {
+	receiver := a.sentTo
+	for e := receiver.replacedBy; e != nil; e = e.replacedBy {
+		if e.startedAt > 0 && e.startedAt <= a.StartedAt {
+			receiver = e
+		}
+	}
+	return receiver
 }
 
 // Outcome is how an attempt ended.
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -58,19 +58,33 @@
 	return true
 }
 
-// leavesDedupScope reports whether an endpoint would not recognise the key of an attempt that may have run.
+// leavesDedupScope reports whether an endpoint might not recognise the key of an attempt that may have run. It must share
+// the zone or cell of every process that may have received the attempt. Where one of them has moved since, no endpoint is
+// known to recognise the key.
 func (r *Request) leavesDedupScope(attempt *Attempt, e *endpoint) bool {
 	class := r.class()
-	if class.Idempotency != IdempotentWithKey || !attempt.InFlight && !attempt.MayHaveRun {
+	if class.Idempotency != IdempotentWithKey || class.DedupScope == DedupAll || !attempt.InFlight && !attempt.MayHaveRun {
 		return false
 	}
-	switch class.DedupScope {
+	movesWhenSent := attempt.moves
+	for process := range attempt.mayHaveReached() {
+		if process.moves != movesWhenSent || !class.DedupScope.contains(process, e) {
+			return true
+		}
+		movesWhenSent = 0 // the other processes were listed later
+	}
+	return false
+}
+
+// contains reports whether an endpoint recognises the keys that another one has received.
+func (s DedupScope) contains(receiver, e *endpoint) bool {
+	switch s {
 	case DedupZone:
-		return attempt.zone != e.zone
+		return receiver.zone == e.zone
 	case DedupCell:
-		return attempt.cell != e.cell
+		return receiver.cell == e.cell
 	}
-	return false
+	return true
 }
 
 // retryAffordable reports whether the retry budget allows another attempt. A retry after an attempt that did not reach
@@ -123,8 +137,9 @@
 		if !attempt.InFlight {
 			continue
 		}
-		e := attempt.sentTo
-		waitUntil := max(attempt.StartedAt, b.resumedAt) + b.attemptTimeout(r)*(1+1/float64(e.inFlight)) - timeToleranceSeconds
+		e := attempt.receivedBy()
+		othersInFlight := max(1, float64(e.inFlight)) // 0 if the list was late, and the attempt counts for the process before
+		waitUntil := max(attempt.StartedAt, b.resumedAt) + b.attemptTimeout(r)*(1+1/othersInFlight) - timeToleranceSeconds
 		if e.lastAnswerAt > attempt.StartedAt || now < waitUntil {
 			return false
 		}
