Slow start: what accumulates and what is added stay within the allowance

What callers saw: a router alone could send an endpoint in slow start up to 1.2 times its allowance, when it was listed late or came back.

Cause: 0.6 of the allowance is added as tokens over the time in which it is measured, and as much could accumulate; within one such time both can be spent.

Change: at most the rest, 0.4, accumulates.

Evidence: TestSlowStartOfEndpointThatIsListedLate failed before (197 attempts in 6 s, allowed 196.9) and passes now.

--- a/internal/policy/slowstart.go
+++ b/internal/policy/slowstart.go
@@ -4,7 +4,13 @@
 // than its allowance. Each router spends a share of the allowance in proportion to the traffic it sends to a warm
 // endpoint. As this share is often less than one request, it accumulates as tokens, starting at a random fraction of
 // one. There is no minimum allowance per router, because the minimums of many routers would add up.
-const slowStartBudgetShare = 0.6 // share of the allowance that routers use when all warm endpoints are at capacity
+//
+// Both shares are of the allowance over SlowStartOverloadSeconds when all warm endpoints are at capacity. In any such time
+// a router spends at most the tokens that have accumulated and those that are added, so together they are the allowance.
+const (
+	slowStartRefillShare = 0.6                      // tokens that are added
+	slowStartBurstShare  = 1 - slowStartRefillShare // most tokens that accumulate
+)
 
 // slowStartShare returns the minimum share of its full capacity that an endpoint has by now; 1 after slow start.
 func (b *Balancer) slowStartShare(now float64, e *endpoint) float64 {
@@ -23,8 +29,10 @@
 		return true
 	}
 	subsetSize := float64(len(b.subset[baseline]) + len(b.subset[canary])) // other routers use other subsets
-	tokensPerSecond := slowStartBudgetShare * b.config.SlowStartOverloadFactor * share * b.requestRate(now) / subsetSize
-	e.slowStartTokens = min(e.slowStartTokens+tokensPerSecond*(now-e.slowStartTokensAt), max(1, tokensPerSecond*b.config.SlowStartOverloadSeconds))
+	allowedPerSecond := b.config.SlowStartOverloadFactor * share * b.requestRate(now) / subsetSize
+	refill := slowStartRefillShare * allowedPerSecond * (now - e.slowStartTokensAt)
+	maxTokens := max(1, slowStartBurstShare*allowedPerSecond*b.config.SlowStartOverloadSeconds)
+	e.slowStartTokens = min(e.slowStartTokens+refill, maxTokens)
 	e.slowStartTokensAt = now
 	return e.slowStartTokens >= 1
 }
