Slow start: an endpoint is not forgotten with what was just spent of its allowance

What callers saw: with a short :forget-units, an endpoint in slow start that left the list, was forgotten and came back got all its tokens again, and could be overloaded.

Cause: what a router has spent is in its record of the endpoint, which was forgotten after :forget-units whatever the time is over which the allowance is measured (:fall-time).

Change: the record is kept for at least that time. After it, an endpoint that was sent nothing has all tokens anyway.

Evidence: TestSlowStartOfEndpointThatWasForgotten failed before (198 attempts in 6 s, allowed 197.3) and passes now.

--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -128,13 +128,15 @@
 func (b *Balancer) SetEndpointListAge(seconds float64) { b.endpointListAge = seconds }
 
 // forgetEndpoints removes endpoints that left the list long ago and to which no request was sent that may still be in
-// flight: if one is listed again, it is to be known as another process of the same endpoint. The counts of the removed ones
-// are merged under endpoint 0: if they were discarded, replacing the baseline endpoints one by one would leave no counts
-// to compare the canary with.
+// flight: if one is listed again, it is to be known as another process of the same endpoint. None is removed within
+// SlowStartOverloadSeconds either, since it would get that time's slow-start tokens again if it came back. The counts of the
+// removed ones are merged under endpoint 0: if they were discarded, replacing the baseline endpoints one by one would leave
+// no counts to compare the canary with.
 func (b *Balancer) forgetEndpoints(now float64) {
+	keepSeconds := max(b.config.ForgetEndpointSeconds, b.config.SlowStartOverloadSeconds)
 	forgotten := func(e *endpoint) bool {
 		needed := e.ready || e.inFlight > 0 || now <= e.neededUntil
-		return b.config.ForgetEndpointSeconds > 0 && !needed && now-e.notReadySince > b.config.ForgetEndpointSeconds
+		return b.config.ForgetEndpointSeconds > 0 && !needed && now-e.notReadySince > keepSeconds
 	}
 	if !slices.ContainsFunc(b.endpoints, forgotten) {
 		return
--- a/internal/policy/slowstart_test.go
+++ b/internal/policy/slowstart_test.go
@@ -77,3 +77,16 @@
 	}
 	trial.check(t)
 }
+
+// Guards against an overloaded endpoint in slow start: with a short time to remember endpoints, one that was forgotten and came
+// back got all tokens again, though it had just spent them.
+func TestSlowStartOfEndpointThatWasForgotten(t *testing.T) {
+	trial := newSlowStartTrial(20)
+	trial.list()
+	trial.run(2.6)
+	trial.remove(4)
+	trial.run(1.3)
+	trial.list()
+	trial.run(3)
+	trial.check(t)
+}
