Metrics: an endpoint that leaves the list and returns is not counted twice

What callers saw: a controller with query servers counted all outcomes of an endpoint's process once more each time that the endpoint left the list and came back, as evidence for or against its build.

Cause: an endpoint's last counters were dropped when it left. Its first value after the return had nothing to be compared with, which for a process that started after the server's first result means that all its counts are new.

When they are forgotten, or a newer release begins, counts of processes that had started by then are no longer taken for new.

--- a/internal/metricsanalysis/analyzer.go
+++ b/internal/metricsanalysis/analyzer.go
@@ -17,10 +17,11 @@
 
 // serverState holds the state of one server's results for one query.
 type serverState struct {
-	firstResultAt float64 // +Inf: no result yet
+	observedSince float64 // all counts of a process that started later are new; +Inf: no result yet
 	newestValueAt float64 // timestamp of the newest value of any series; -Inf: no value yet
 	series        map[seriesKey]*seriesState
 	removed       map[int]counts // total counts of endpoints that left the list or changed their build, by former build
+	departed      departedSeries
 }
 
 // seriesKey identifies a series of a server.
@@ -36,10 +37,11 @@
 		states := make([]serverState, servers)
 		for i := range states {
 			states[i] = serverState{
-				firstResultAt: math.Inf(1),
+				observedSince: math.Inf(1),
 				newestValueAt: math.Inf(-1),
 				series:        map[seriesKey]*seriesState{},
 				removed:       map[int]counts{},
+				departed:      departedSeries{},
 			}
 		}
 		a.servers = append(a.servers, states)
@@ -50,12 +52,14 @@
 // SetEndpoints replaces the endpoint list. Counts of endpoints that left the list or changed their build are kept as one
 // sum per build, except those of queries whose counts decay.
 func (a *Analyzer) SetEndpoints(list []Endpoint) {
+	previous := a.endpoints
 	a.endpoints = make(map[uint32]Endpoint, len(list))
 	for _, endpoint := range list {
 		a.endpoints[endpoint.ID] = endpoint
 	}
 	for i, states := range a.servers {
-		for _, server := range states {
+		for j := range states {
+			server := &states[j]
 			for key, series := range server.series {
 				if endpoint, listed := a.endpoints[key.endpoint]; listed && endpoint.Build == key.build {
 					continue
@@ -63,6 +67,7 @@
 				if !a.queries[i].decays() {
 					server.removed[key.build] = server.removed[key.build].plus(series.total)
 				}
+				server.depart(key, previous[key.endpoint], series)
 				delete(server.series, key)
 				a.seriesCount--
 			}
@@ -78,8 +83,10 @@
 	}
 	a.newestBuild = build
 	for _, states := range a.servers {
-		for _, server := range states {
+		for i := range states {
+			server := &states[i]
 			clear(server.removed)
+			server.forgetDeparted(math.Inf(1)) // what they counted since is in part of the build before
 			for _, series := range server.series {
 				series.total = counts{}
 			}
@@ -90,7 +97,7 @@
 // ApplyResult applies a query result and counts its values. Values that were applied before are skipped.
 func (a *Analyzer) ApplyResult(now float64, result *QueryResult) ApplySummary {
 	server := &a.servers[result.Query][result.Server]
-	server.firstResultAt = min(server.firstResultAt, now)
+	server.observedSince = min(server.observedSince, now)
 	updater := &seriesUpdater{now: now, query: &a.queries[result.Query], server: server}
 	rejected := &updater.summary.RejectedValues
 	failures := make(map[seriesKey][]Point, len(result.Failures))
@@ -110,7 +117,7 @@
 			continue
 		}
 		seen[key] = true
-		state := a.trackSeries(server, key)
+		state := a.trackSeries(server, key, endpoint)
 		if state == nil {
 			rejected[RejectedTooManySeries]++
 			continue
@@ -128,9 +135,9 @@
 	return updater.summary
 }
 
-// trackSeries returns the state of a series, creating it if needed. It returns nil if the series is new and maxSeries
-// series are tracked already.
-func (a *Analyzer) trackSeries(server *serverState, key seriesKey) *seriesState {
+// trackSeries returns the state of an endpoint's series, creating it if needed. It returns nil if the series is new and
+// maxSeries series are tracked already.
+func (a *Analyzer) trackSeries(server *serverState, key seriesKey, endpoint Endpoint) *seriesState {
 	if state := server.series[key]; state != nil {
 		return state
 	}
@@ -138,7 +145,7 @@
 		return nil
 	}
 	a.seriesCount++
-	state := &seriesState{}
+	state := server.departed.resume(key, endpoint)
 	server.series[key] = state
 	return state
 }
--- a/internal/metricsanalysis/series.go
+++ b/internal/metricsanalysis/series.go
@@ -108,10 +108,9 @@
 	increase = after.counters.minus(before.counters)
 	switch {
 	case !before.started:
-		// If the process started after the first result of this server, all of its counts are new. Otherwise it is
-		// unknown when they were counted.
-		startedAfterFirstResult := endpoint.StartedAt > u.server.firstResultAt && endpoint.StartedAt <= after.valueAt
-		return after.counters, startedAfterFirstResult
+		// Otherwise it is unknown when they were counted.
+		allNew := endpoint.StartedAt > u.server.observedSince && endpoint.StartedAt <= after.valueAt
+		return after.counters, allNew
 	case increase.outcomes < 0: // the process restarted, which resets its counters
 		u.summary.CounterResets++
 		return after.counters, true
