Canary limit: versions that change the window do not free attempts anew

What callers saw: after a version that shortened :window and one that lengthened it again, or one that lengthened it, the canary was sent its free attempts again: 40 attempts in 4 s where 30 are allowed.

Cause: what was counted was dropped by the window in force. A shorter one dropped attempts that count again under the next; a longer one reaches back to a time of which nothing was kept.

Change: counts are kept for the longest window so far. Under one that reaches back further, no free attempts are used until it is covered.

Evidence: TestCanaryLimitAfterShorterWindow and TestCanaryLimitWithLongerWindow failed before (40 attempts, allowed 30.0) and pass now.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -95,8 +95,7 @@
 func (b *Balancer) requestRate(now float64) float64 {
 	received := 0
 	for i := range b.receivedAt {
-		b.receivedAt[i] = since(b.receivedAt[i], now-b.config.CanaryWindowSeconds+b.config.TimerResolutionSeconds)
-		received += len(b.receivedAt[i])
+		received += b.receivedInWindow(now, i)
 	}
 	return float64(received) / b.config.CanaryWindowSeconds
 }
--- a/internal/policy/balancer.go
+++ b/internal/policy/balancer.go
@@ -34,8 +34,10 @@
 	canaryReady           int         // number of ready endpoints that run the release's build
 	newestCanaryStartedAt float64     // start of the newest ready canary endpoint
 	latenessComparable    bool        // both builds serve at once: their lateness can be compared
-	receivedAt            [][]float64 // times of the requests received in the canary window, by limitIndex
-	canaryAttemptsAt      [][]float64 // start times of the canary attempts, by limitIndex
+	receivedAt            [][]float64 // times of the requests received in the longest canary window, by limitIndex
+	canaryAttemptsAt      [][]float64 // start times of the canary attempts in it, by limitIndex
+	longestCanaryWindow   float64     // longest canary window of all configurations so far, in seconds
+	canaryCountsSince     float64     // receivedAt and canaryAttemptsAt lack what was before; 0 if they lack nothing
 	buildByKey            map[uint64]int
 	keyFloorBuild         int     // every key counts as answered by this build or a later one
 	leasedShare           float64 // share of all routers' allowances that the controller assigned; 1 without a controller
@@ -101,6 +103,7 @@
 // effect at once.
 func (b *Balancer) SetConfig(config *Config) {
 	b.config, b.maxPriority = config, 0
+	b.extendCanaryWindow(config.CanaryWindowSeconds)
 	for i, class := range config.Classes {
 		if i == len(b.typicalLatency) {
 			b.addClass()
