Leases: the canary window of the version in force binds, not the settings file's

Cause: the ledger of leases kept the window of the controller's settings file.

Change: each version that is put in force sets the ledger's window. A longer one holds back all grants for as long as it is longer, since leases that have left the window before count again; a shorter one ends no lease sooner, since routers apply it later.

Evidence: TestLeasesFollowCanaryWindow failed before ("share 1 for another router", "share 1 after a restart", want 0) and passes now; ExampleLedger_longerWindow is new.

--- a/internal/controller/config_versions.go
+++ b/internal/controller/config_versions.go
@@ -152,9 +152,13 @@
 // apply puts a version into force at the controller; routers receive it in their next assignments. The caller holds the
 // controller's lock.
 func (v *configVersions) apply(version *configstate.Version) (configstate.Outcome, error) {
-	outcome, err := v.state.Offer(v.controller.now(), version, v.conditions(version))
+	c := v.controller
+	now := c.now()
+	outcome, err := v.state.Offer(now, version, v.conditions(version))
 	if outcome == configstate.Applied {
-		v.controller.balancer.SetConfig(v.state.Current().Policy)
+		config := v.state.Current().Policy
+		c.balancer.SetConfig(config)
+		c.leader.SetCanaryWindow(now, config.CanaryWindowSeconds)
 	}
 	return outcome, err
 }
--- a/internal/controller/config_versions_test.go
+++ b/internal/controller/config_versions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -182,3 +183,76 @@
 	}
 	mustClose(t, controller.configVersions.store)
 }
+
+// Guards against canary attempts over the limit of a version: the leases of the free attempts were held for the window of the
+// settings file, whatever version was in force, also after a restart.
+func TestLeasesFollowCanaryWindow(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/edge.edn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	document := "{" + string(text[strings.Index(string(text), ":schema"):])
+	const longWindowSeconds = 60
+	version, err := configstate.ParseVersion(1, []byte(regexp.MustCompile(`:window\s+4.0`).ReplaceAllString(document, ":window 60.0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := version.Document.Rules.CanaryWindowSeconds; got != longWindowSeconds {
+		t.Fatalf("the version's window is %g s, want %d s", got, longWindowSeconds)
+	}
+	services := &fakeServices{}
+	settings := testSettings(t, t.TempDir(), services.serve(t), 1)
+	settings.Control = &config.Control{RequiredListTimeoutSeconds: 5}
+	store, _, _, err := OpenStateStore(settings.StateDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mustClose(t, store)
+	sequence := uint64(0)
+	// share returns the share that is leased to a router that reports now.
+	share := func(controller *Controller, router string) float64 {
+		sequence++
+		controller.acceptReport(&linkpb.Digest{Major: lease.SchemaMajor, Relay: "r1", Edge: router, Life: 1, Seq: sequence, ConfigNo: 1})
+		return controller.nextAssignment(router, 0).Share
+	}
+	start := func() *Controller {
+		controller := newController(settings, discardLog(), store)
+		controller.restore(9, SavedState{})
+		if controller.configVersions, err = controller.openConfigVersions(); err != nil {
+			t.Fatal(err)
+		}
+		return controller
+	}
+	controller := start()
+	fileWindow := settings.Rules.CanaryWindowSeconds
+	advanceClock(controller, settings.Link.LeaseSeconds+fileWindow+1)
+	if got := share(controller, "a"); got != 1 {
+		t.Fatalf("share %g before the version, want 1", got)
+	}
+	advanceClock(controller, settings.Link.SilenceSeconds+1) // a is dead
+	if outcome, err := controller.configVersions.propose(version); outcome != configstate.Waiting {
+		t.Fatalf("proposed: outcome %v with error %v", outcome, err)
+	}
+	if outcome, err := controller.configVersions.recheck(version); outcome != configstate.Applied {
+		t.Fatalf("outcome %v with error %v", outcome, err)
+	}
+	advanceClock(controller, settings.Link.LeaseSeconds+fileWindow)
+	if got := share(controller, "b"); got != 0 {
+		t.Errorf("share %g for another router while the dead one's attempts count in the longer window, want 0", got)
+	}
+	advanceClock(controller, longWindowSeconds)
+	if got := share(controller, "b"); got != 1 {
+		t.Errorf("share %g after the longer window, want 1", got)
+	}
+	mustClose(t, controller.configVersions.store)
+	restarted := start()
+	defer mustClose(t, restarted.configVersions.store)
+	advanceClock(restarted, settings.Link.LeaseSeconds+fileWindow+1)
+	if got := share(restarted, "c"); got != 0 {
+		t.Errorf("share %g after a restart while the leases of the process before count in the longer window, want 0", got)
+	}
+	advanceClock(restarted, longWindowSeconds)
+	if got := share(restarted, "c"); got != 1 {
+		t.Errorf("share %g after a restart and the longer window, want 1", got)
+	}
+}
--- a/internal/lease/leader.go
+++ b/internal/lease/leader.go
@@ -92,6 +92,9 @@
 	return header, share, l.leaseSeconds
 }
 
+// SetCanaryWindow sets the window over which the canary traffic limit counts attempts; see Ledger.SetWindow.
+func (l *Leader) SetCanaryWindow(now, windowSeconds float64) { l.ledger.SetWindow(now, windowSeconds) }
+
 // leaseHolder identifies one process of a router. A new process does not take over the lease of the previous one, whose
 // attempts still count against the canary traffic limit.
 func leaseHolder(name string, incarnation uint64) string {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -244,6 +244,29 @@
 	// 15.4 s, 1 alive: b gets 1.00, outstanding 1.00
 }
 
+// With a longer window, a lease that left the one before may count again.
+func ExampleLedger_longerWindow() {
+	ledger := NewLedger(1, 4, 0)
+	show := func(now float64, holder string) {
+		fmt.Printf("%4.1f s: %s gets %.2f, outstanding %.2f\n", now, holder, ledger.Grant(now, holder, 1), ledger.Outstanding(now))
+	}
+	show(5.1, "a")
+	fmt.Println("10.2 s: outstanding", ledger.Outstanding(10.2)) // a is dead, and its lease ended at 6.1
+	ledger.SetWindow(10.2, 8)
+	show(10.3, "b")
+	show(14.3, "b")
+	ledger.SetWindow(15, 2)
+	show(20, "c") // b is dead, and its lease ended at 15.3: routers may still count over 8 s
+	show(23.4, "c")
+	// Output:
+	// 5.1 s: a gets 1.00, outstanding 1.00
+	// 10.2 s: outstanding 0
+	// 10.3 s: b gets 0.00, outstanding 0.00
+	// 14.3 s: b gets 1.00, outstanding 1.00
+	// 20.0 s: c gets 0.00, outstanding 1.00
+	// 23.4 s: c gets 1.00, outstanding 1.00
+}
+
 // A follower accepts only assignments that are newer than the last one, and only the newer parts of their content.
 func ExampleFollower_AcceptAssignment() {
 	follower := NewFollower(7)
--- a/internal/lease/ledger.go
+++ b/internal/lease/ledger.go
@@ -10,7 +10,7 @@
 // that the outstanding shares never sum to more than 1, whichever router dies and whichever message is lost.
 type Ledger struct {
 	leaseSeconds  float64
-	windowSeconds float64            // window over which the canary traffic limit counts attempts
+	windowSeconds float64            // longest window over which the canary traffic limit has counted attempts so far
 	firstGrantAt  float64            // no lease is granted before this time
 	leases        map[string][]grant // by holder, ordered by end
 }
@@ -25,6 +25,17 @@
 		leases: map[string][]grant{}}
 }
 
+// SetWindow sets the window over which the canary traffic limit counts attempts from now on. Leases that have left the window
+// before may be in a longer one, so none is granted until they have left that too. A shorter window does not end leases
+// sooner, since routers may still count over the one before.
+func (l *Ledger) SetWindow(now, windowSeconds float64) {
+	if windowSeconds <= l.windowSeconds {
+		return
+	}
+	l.firstGrantAt = max(l.firstGrantAt, now) + windowSeconds - l.windowSeconds
+	l.windowSeconds = windowSeconds
+}
+
 // Grant leases a share to a holder from now on: 1/holders, or less if the other holders' leases leave less. It returns 0
 // if they leave nothing.
 func (l *Ledger) Grant(now float64, holder string, holders int) (share float64) {
