Policy: endpoints that are in no zone or cell do not share one

What callers saw: keyed requests of zone or cell scope were retried between endpoints that are in none, where the key is not recognised.

Cause: 0 means that the list names no zone or cell, and the policy compared the numbers.

Change: such an endpoint recognises only its own repeats. The simulator's zones and cells begin at 0; its adapter counts them from 1. docs/protocol.md says what a list that leaves them out means.

--- a/internal/policy/endpoint_lifecycle_test.go
+++ b/internal/policy/endpoint_lifecycle_test.go
@@ -258,3 +258,23 @@
 		t.Errorf("decision %v, endpoint %d; want the request to be held, since it may have run in either cell", decision, decision.Endpoint)
 	}
 }
+
+// Guards against a second effect: endpoints that are in no cell counted as being in the same one, and a retry was sent from one
+// to another, which does not recognise the key. The endpoint itself does.
+func TestRetryBetweenEndpointsInNoCell(t *testing.T) {
+	for _, other := range []bool{true, false} {
+		f := newFleet(func(config *Config) { config.Classes[1].DedupScope, config.AllowHedging = DedupCell, true })
+		f.list(true)
+		f.place(1, noGroup, 7, 50)
+		r, _ := f.request(1)
+		if other {
+			f.remove(1)
+			f.place(2, noGroup, 7, 50)
+		}
+		f.now += 0.02
+		want := map[bool]Action{true: Hold, false: Send}[other]
+		if decision := f.answer(r, ServerError); decision.Action != want {
+			t.Errorf("another endpoint %v: decision %v, endpoint %d, want action %d", other, decision, decision.Endpoint, want)
+		}
+	}
+}
--- a/internal/policy/endpoints.go
+++ b/internal/policy/endpoints.go
@@ -8,6 +8,9 @@
 // subscribeRetrySeconds is the minimum time between two subscriptions to the endpoint list.
 const subscribeRetrySeconds = 1
 
+// noGroup is the zone or cell of an endpoint that is in none.
+const noGroup = 0
+
 // EndpointState is the state of an endpoint in the list.
 type EndpointState uint8
 
@@ -60,7 +63,7 @@
 	}
 }
 
-// UpdateEndpoint applies one entry of the current update. A weight of 0 counts as 1. An entry that is Gone says nothing but
+// UpdateEndpoint applies one entry of the current update. Zone or cell 0 means none, and a weight of 0 counts as 1. An entry that is Gone says nothing but
 // that: its other values are ignored, since a list that no longer names the endpoint has none.
 func (b *Balancer) UpdateEndpoint(id uint32, zone, cell uint16, build int, state EndpointState, weight, startedAt float64) {
 	e := b.endpointByID[id]
--- a/internal/policy/lifecycle_property_test.go
+++ b/internal/policy/lifecycle_property_test.go
@@ -264,13 +264,13 @@
 	}
 	for _, a := range r.attempts {
 		if a.mayHaveRun() {
-			l.checkRepeat(t, r, a, target)
+			l.checkRepeat(t, r, a, id, target)
 		}
 	}
 }
 
-// checkRepeat checks that a request may be sent to a process after an attempt that may have run.
-func (l *lifecycle) checkRepeat(t *rapid.T, r *trackedRequest, a *sentAttempt, target listedProcess) {
+// checkRepeat checks that a request may be sent to an endpoint after an attempt that may have run.
+func (l *lifecycle) checkRepeat(t *rapid.T, r *trackedRequest, a *sentAttempt, id uint32, target listedProcess) {
 	switch r.class.Idempotency {
 	case Idempotent:
 		return
@@ -280,16 +280,25 @@
 	if l.now > a.startedAt+r.class.DedupWindowSeconds {
 		t.Fatalf("rule 2: sent again %.3f s after an attempt, the window is %g s", l.now-a.startedAt, r.class.DedupWindowSeconds)
 	}
-	if r.class.DedupScope == DedupAll {
-		return
-	}
 	for _, p := range a.processes {
-		if r.class.DedupScope == DedupZone && p.zone != target.zone || r.class.DedupScope == DedupCell && p.cell != target.cell {
+		isTarget := a.endpoint == id && p.build == target.build && p.startedAt == target.startedAt
+		if !sharesGroup(r.class.DedupScope, p, target, isTarget) {
 			t.Fatalf("rule 2: sent to %+v after an attempt that %+v may have run", target, p)
 		}
 	}
 }
 
+// sharesGroup reports whether a process recognises the keys that another one has received, or that itself has received.
+func sharesGroup(scope DedupScope, receiver, target listedProcess, isTarget bool) bool {
+	switch scope {
+	case DedupZone:
+		return receiver.zone == target.zone && (target.zone != 0 || isTarget)
+	case DedupCell:
+		return receiver.cell == target.cell && (target.cell != 0 || isTarget)
+	}
+	return true
+}
+
 // checkFinalAnswer checks that a request may be answered finally now.
 func (l *lifecycle) checkFinalAnswer(t *rapid.T, r *trackedRequest, action Action) {
 	if r.answered || r.finalAction != NoAction {
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -76,13 +76,14 @@
 	return false
 }
 
-// contains reports whether an endpoint recognises the keys that another one has received.
+// contains reports whether an endpoint recognises the keys that another one has received. An endpoint that is in no zone or
+// cell shares none with another.
 func (s DedupScope) contains(receiver, e *endpoint) bool {
 	switch s {
 	case DedupZone:
-		return receiver.zone == e.zone
+		return receiver == e || receiver.zone == e.zone && e.zone != noGroup
 	case DedupCell:
-		return receiver.cell == e.cell
+		return receiver == e || receiver.cell == e.cell && e.cell != noGroup
 	}
 	return true
 }
--- a/internal/simadapter/instance.go
+++ b/internal/simadapter/instance.go
@@ -28,7 +28,8 @@
 // timerTolerance is how early a timer may fire, in seconds: times are rounded when converted to milliseconds and back.
 const timerTolerance = 1e-9
 
-// updateEndpoints passes the endpoints of a table to the policy, as the full list or as changes.
+// updateEndpoints passes the endpoints of a table to the policy, as the full list or as changes. The simulator numbers zones
+// and cells from 0, which means none to the policy.
 func (i *instance) updateEndpoints(table []byte, full bool) error {
 	i.balancer.BeginEndpointList(full)
 	for ; len(table) > 0; table = table[endpointBytes:] {
@@ -37,7 +38,7 @@
 		if !ok {
 			return fmt.Errorf("unknown endpoint state %d", entry.stateCode)
 		}
-		i.balancer.UpdateEndpoint(entry.id, entry.zone, entry.cell, entry.build, state, entry.weight, entry.startedAt)
+		i.balancer.UpdateEndpoint(entry.id, entry.zone+1, entry.cell+1, entry.build, state, entry.weight, entry.startedAt)
 	}
 	i.balancer.EndEndpointList(i.now)
 	return nil
