Retries: endpoints that are not ready are no alternative to the only one that is

What callers saw: with one endpoint left, a request whose attempt failed was held and then rejected or failed, though it may run again.

Cause: a first retry avoids the endpoint of the first attempt if there is another, and endpoints that had left the list counted until they were forgotten.

Change: only ready endpoints count. TestRetryAfterEndpointWasListedInAnotherCell lists one in a third cell now: its request would be retried at its only endpoint at once, before that is listed elsewhere. What it checks is the same.

Evidence: TestRetryAtTheOnlyEndpointLeft failed before ("decision hold") and passes now.

--- a/internal/policy/canary_test.go
+++ b/internal/policy/canary_test.go
@@ -51,7 +51,7 @@
 func TestCanaryLimitAfterShorterWindow(t *testing.T) {
 	c := newCanaryTrial(4)
 	c.send(100)
-	c.now += 1
+	c.now++
 	c.setWindow(0.5)
 	c.lookAtWindow()
 	c.setWindow(4)
--- a/internal/policy/endpoint_lifecycle_test.go
+++ b/internal/policy/endpoint_lifecycle_test.go
@@ -148,8 +148,9 @@
 			f.place(1, 1, 7, 50)
 			f.now = sentAt
 			r, _ := f.request(1)
+			f.place(4, 3, 7, 50)
 			f.now = failedAt
-			decision := f.answer(r, ServerError) // there is no other endpoint
+			decision := f.answer(r, ServerError) // no other endpoint is in the cell
 			f.now += 0.1
 			f.place(1, 2, test.build, test.startedAt)
 			f.place(2, 1, 7, 50)
@@ -278,3 +279,15 @@
 		}
 	}
 }
+
+// Guards against requests that fail though a retry is possible: endpoints that had left the list counted as alternatives to the
+// only one that is left, until they were forgotten.
+func TestRetryAtTheOnlyEndpointLeft(t *testing.T) {
+	f := newFleet(nil)
+	f.remove(2, 3, 4)
+	r, _ := f.request(0)
+	f.now += 0.02
+	if decision := f.answer(r, ServerError); decision.Action != Send || decision.Endpoint != 1 {
+		t.Errorf("decision %v, endpoint %d, want send to endpoint 1", decision, decision.Endpoint)
+	}
+}
--- a/internal/policy/pick.go
+++ b/internal/policy/pick.go
@@ -210,12 +210,13 @@
 }
 
 // mustAvoid reports whether an attempt is in flight at an endpoint or, without hedging, is the request's only one so
-// far and may have run there: another endpoint is likelier to succeed. Later retries may use the endpoint again.
+// far and may have run there: another endpoint is likelier to succeed, if there is one. Later retries may use the endpoint
+// again.
 func (b *Balancer) mustAvoid(r *Request, attempt *Attempt, e *endpoint) bool {
 	if attempt.Endpoint != e.id {
 		return false
 	}
-	onlyAttempt := !r.Config.AllowHedging && len(b.endpoints) > 1 && attempt.MayHaveRun && len(r.Attempts) == 1
+	onlyAttempt := !r.Config.AllowHedging && b.readyCount > 1 && attempt.MayHaveRun && len(r.Attempts) == 1
 	return attempt.InFlight || onlyAttempt
 }
 
