Controller and proxy tests: one place for the start of a versioned controller and the text of a version

The controller was set up three times in the tests of configuration versions, and the document cut out of the example settings five times. No check changes.

--- a/internal/controller/config_versions_test.go
+++ b/internal/controller/config_versions_test.go
@@ -29,19 +29,57 @@
 	controller.expireRouters(controller.now())
 }
 
-// Guards against a restarted controller that counts routers which have not reported to it yet as agreeing: it
-// acknowledged a version that its router could not apply. A version is decided only once every live router must have
-// reported, also after the controller itself has stalled.
-func TestVersionWaitsForRoutersAfterRestart(t *testing.T) {
+// documentText returns the part of the example settings that a configuration version holds.
+func documentText(t *testing.T) string {
+	t.Helper()
 	text, err := os.ReadFile("../../deploy/edge.edn")
 	if err != nil {
 		t.Fatal(err)
 	}
-	document := "{" + string(text[strings.Index(string(text), ":schema"):])
-	version, err := configstate.ParseVersion(2, []byte(document))
+	return "{" + string(text[strings.Index(string(text), ":schema"):])
+}
+
+// parseVersion parses a configuration version.
+func parseVersion(t *testing.T, number uint64, text string) *configstate.Version {
+	t.Helper()
+	version, err := configstate.ParseVersion(number, []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return version
+}
+
+// versionedSettings returns the settings of a controller with a control service, and its open state store.
+func versionedSettings(t *testing.T, requiredListTimeoutSeconds float64) (*config.Controller, *StateStore) {
+	t.Helper()
+	settings := testSettings(t, t.TempDir(), (&fakeServices{}).serve(t), 1)
+	settings.Control = &config.Control{RequiredListTimeoutSeconds: requiredListTimeoutSeconds}
+	store, _, _, err := OpenStateStore(settings.StateDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { mustClose(t, store) })
+	return settings, store
+}
+
+// startVersioned returns a controller that has restored an empty state and its configuration history. The caller closes
+// the history.
+func startVersioned(t *testing.T, settings *config.Controller, store *StateStore) *Controller {
+	t.Helper()
+	controller := newController(settings, discardLog(), store)
+	controller.restore(9, SavedState{})
+	var err error
+	if controller.configVersions, err = controller.openConfigVersions(); err != nil {
+		t.Fatal(err)
+	}
+	return controller
+}
+
+// Guards against a restarted controller that counts routers which have not reported to it yet as agreeing: it
+// acknowledged a version that its router could not apply. A version is decided only once every live router must have
+// reported, also after the controller itself has stalled.
+func TestVersionWaitsForRoutersAfterRestart(t *testing.T) {
+	version := parseVersion(t, 2, documentText(t))
 	sequence := uint64(0)
 	report := func(controller *Controller, rejected uint64) {
 		sequence++
@@ -63,19 +101,8 @@
 		}, func(c *Controller) { report(c, 2) }, configstate.Rejected},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			services := &fakeServices{}
-			settings := testSettings(t, t.TempDir(), services.serve(t), 1)
-			settings.Control = &config.Control{RequiredListTimeoutSeconds: 5}
-			store, _, _, err := OpenStateStore(settings.StateDir)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer mustClose(t, store)
-			controller := newController(settings, discardLog(), store)
-			controller.restore(9, SavedState{})
-			if controller.configVersions, err = controller.openConfigVersions(); err != nil {
-				t.Fatal(err)
-			}
+			settings, store := versionedSettings(t, 5)
+			controller := startVersioned(t, settings, store)
 			defer mustClose(t, controller.configVersions.store)
 			test.before(controller)
 			if outcome, err := controller.configVersions.propose(version); outcome != configstate.Waiting || err != nil {
@@ -96,25 +123,10 @@
 // takes effect at the controller and is sent to the routers, including a router that starts later; it stays in force
 // after a restart. An older version is rejected, and so is one that the routers do not answer in time.
 func TestVersionRequiresAllRouters(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/edge.edn")
-	if err != nil {
-		t.Fatal(err)
-	}
-	document := "{" + string(text[strings.Index(string(text), ":schema"):])
-	services := &fakeServices{}
-	settings := testSettings(t, t.TempDir(), services.serve(t), 1)
-	settings.Control = &config.Control{RequiredListTimeoutSeconds: 0.5}
-	store, _, _, err := OpenStateStore(settings.StateDir)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer mustClose(t, store)
-	controller := newController(settings, discardLog(), store)
-	controller.restore(9, SavedState{})
+	document := documentText(t)
+	settings, store := versionedSettings(t, 0.5)
+	controller := startVersioned(t, settings, store)
 	advanceClock(controller, settings.Link.SilenceSeconds) // every live router would have reported by now
-	if controller.configVersions, err = controller.openConfigVersions(); err != nil {
-		t.Fatal(err)
-	}
 	sequence := uint64(0)
 	// report sends a router's report with the numbers of the version in force, of the version that the router can apply
 	// and of the one that it rejects for the given reason, and returns the assignment in reply.
@@ -126,10 +138,7 @@
 	}
 	var proposed *configstate.Version // the last one
 	propose := func(number uint64, text string) {
-		version, err := configstate.ParseVersion(number, []byte(text))
-		if err != nil {
-			t.Fatal(err)
-		}
+		version := parseVersion(t, number, text)
 		proposed = version
 		if outcome, err := controller.configVersions.propose(version); outcome != configstate.Waiting || err != nil {
 			t.Fatalf("proposed version %d: outcome %v with error %v, want %v", number, outcome, err, configstate.Waiting)
@@ -167,17 +176,14 @@
 	if assignment := report("c", 0, 0, 0, ""); assignment.ConfigNo != 5 || assignment.ConfigTextNo != 5 {
 		t.Error("want version 5 in force with text for a router that starts later; got versions", assignment.ConfigNo, assignment.ConfigTextNo)
 	}
-	old, err := configstate.ParseVersion(4, []byte(document))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if outcome, err := controller.configVersions.propose(old); outcome != configstate.Rejected || err == nil {
+	if outcome, err := controller.configVersions.propose(parseVersion(t, 4, document)); outcome != configstate.Rejected || err == nil {
 		t.Error("accepted version 4 after version 5:", outcome, err)
 	}
 	propose(6, document+"  ")
 	time.Sleep(600 * time.Millisecond) // longer than RequiredListTimeoutSeconds
 	recheck(configstate.Rejected, "no word in time from edges a, b, c")
 	mustClose(t, controller.configVersions.store)
+	var err error
 	if controller.configVersions, err = controller.openConfigVersions(); err != nil || controller.configVersions.state.Current().Number != 5 {
 		t.Error("version 5 is not in force after a restart:", err)
 	}
@@ -187,27 +193,12 @@
 // Guards against canary attempts over the limit of a version: the leases of the free attempts were held for the window of the
 // settings file, whatever version was in force, also after a restart.
 func TestLeasesFollowCanaryWindow(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/edge.edn")
-	if err != nil {
-		t.Fatal(err)
-	}
-	document := "{" + string(text[strings.Index(string(text), ":schema"):])
 	const longWindowSeconds = 60
-	version, err := configstate.ParseVersion(1, []byte(regexp.MustCompile(`:window\s+4.0`).ReplaceAllString(document, ":window 60.0")))
-	if err != nil {
-		t.Fatal(err)
-	}
+	version := parseVersion(t, 1, regexp.MustCompile(`:window\s+4.0`).ReplaceAllString(documentText(t), ":window 60.0"))
 	if got := version.Document.Rules.CanaryWindowSeconds; got != longWindowSeconds {
 		t.Fatalf("the version's window is %g s, want %d s", got, longWindowSeconds)
 	}
-	services := &fakeServices{}
-	settings := testSettings(t, t.TempDir(), services.serve(t), 1)
-	settings.Control = &config.Control{RequiredListTimeoutSeconds: 5}
-	store, _, _, err := OpenStateStore(settings.StateDir)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer mustClose(t, store)
+	settings, store := versionedSettings(t, 5)
 	sequence := uint64(0)
 	// share returns the share that is leased to a router that reports now.
 	share := func(controller *Controller, router string) float64 {
@@ -215,15 +206,7 @@
 		controller.acceptReport(&linkpb.Digest{Major: lease.SchemaMajor, Relay: "r1", Edge: router, Life: 1, Seq: sequence, ConfigNo: 1})
 		return controller.nextAssignment(router, 0).Share
 	}
-	start := func() *Controller {
-		controller := newController(settings, discardLog(), store)
-		controller.restore(9, SavedState{})
-		if controller.configVersions, err = controller.openConfigVersions(); err != nil {
-			t.Fatal(err)
-		}
-		return controller
-	}
-	controller := start()
+	controller := startVersioned(t, settings, store)
 	fileWindow := settings.Rules.CanaryWindowSeconds
 	advanceClock(controller, settings.Link.LeaseSeconds+fileWindow+1)
 	if got := share(controller, "a"); got != 1 {
@@ -245,7 +228,7 @@
 		t.Errorf("share %g after the longer window, want 1", got)
 	}
 	mustClose(t, controller.configVersions.store)
-	restarted := start()
+	restarted := startVersioned(t, settings, store)
 	defer mustClose(t, restarted.configVersions.store)
 	advanceClock(restarted, settings.Link.LeaseSeconds+fileWindow+1)
 	if got := share(restarted, "c"); got != 0 {
--- a/internal/proxy/config_versions_bench_test.go
+++ b/internal/proxy/config_versions_bench_test.go
@@ -11,10 +11,10 @@
 )
 
 // configVersionText returns the example settings from the :schema key on, as the text of a configuration version.
-func configVersionText(b *testing.B) string {
+func configVersionText(t testing.TB) string {
 	text, err := os.ReadFile("../../deploy/edge.edn")
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	return "{" + regexp.MustCompile(`(?s):schema.*\}`).FindString(string(text))
 }
--- a/internal/proxy/endpoint_changes_test.go
+++ b/internal/proxy/endpoint_changes_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"net"
-	"os"
 	"regexp"
 	"strings"
 	"testing"
@@ -91,11 +90,7 @@
 // that an endpoint is forgotten while a request of an earlier version still waits.
 func versionWithShortTimes(t *testing.T) *configstate.Version {
 	t.Helper()
-	text, err := os.ReadFile("../../deploy/edge.edn")
-	if err != nil {
-		t.Fatal(err)
-	}
-	document := "{" + regexp.MustCompile(`(?s):schema.*\}`).FindString(string(text))
+	document := configVersionText(t)
 	document = regexp.MustCompile(`:target [0-9.]+ :timeout [0-9.]+`).ReplaceAllString(document, ":target 0.1 :timeout 0.1")
 	document = regexp.MustCompile(`:forget-units\s+[0-9.]+`).ReplaceAllString(document, ":forget-units 0.2")
 	document = strings.Replace(document, ":group :all", ":group :zone", 1)
