Router: a graceful shutdown waits as long as the versions of its requests say

Cause: the drain time was the settings file's.

Change: it is the longest of the version in force and of those that requests in flight were accepted under, so that a version that shortens it cuts off none either.

--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// DrainTimeoutSeconds returns the longest time that a graceful shutdown which begins now should wait for: the longest drain
+// timeout of the configuration version in force and of those that requests in flight were accepted under.
+func (p *Proxy) DrainTimeoutSeconds() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	longest := p.currentConfig.Load().Document.Clients.DrainTimeoutSeconds
+	for conn := range p.clients {
+		for _, request := range conn.openRequests {
+			longest = max(longest, request.config.Document.Clients.DrainTimeoutSeconds)
+		}
+	}
+	return longest
+}
+
 // Drain calls StopServing and blocks until every request is answered and every client connection has closed. If ctx
 // ends first, it returns an error that wraps ctx.Err() and gives the numbers of requests and connections that remain.
 // Close the listener before calling Drain.
--- a/internal/router/configversions_test.go
+++ b/internal/router/configversions_test.go
@@ -14,6 +14,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,7 +39,8 @@
 	controlAddresses string // quoted, as in the settings file
 	tlsSettings      string // the settings of the link to the control service
 	controlCreds     credentials.TransportCredentials
-	document         string // configuration document of the example file
+	document         string       // configuration document of the example file
+	atEndpoint       atomic.Int32 // requests that the endpoint is working on
 
 	mu            sync.Mutex
 	answers       map[string]int // number of answers by "STATUS by version NUMBER"
@@ -59,6 +61,8 @@
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{t: t, stateDir: t.TempDir(), listenAddr: freeAddr(t), answers: map[string]int{}}
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		f.atEndpoint.Add(1)
+		defer f.atEndpoint.Add(-1)
 		if delay, err := time.ParseDuration(req.Header.Get("X-Delay")); err == nil {
 			time.Sleep(delay)
 		}
@@ -431,3 +435,39 @@
 		t.Errorf("got %q, want \"200 by version 2\"", got)
 	}
 }
+
+// Guards against requests in flight that a graceful shutdown cuts off: it waited for the drain timeout of the settings file
+// while a version with a longer one was in force. Requests that were accepted under a version keep its drain timeout, too,
+// when a later version shortens it.
+func TestDrainTimeoutOfVersions(t *testing.T) {
+	const example, short = ":drain-time  10.0", ":drain-time 0.1"
+	for _, test := range []struct{ name, file, version string }{
+		{"the version in force lengthens it", short, example},
+		{"a version shortens it while a request is in flight", example, short},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t)
+			version := f.documentText(1, example, test.version)
+			f.document = strings.Replace(f.document, example, test.file, 1)
+			stop := f.start()
+			f.eventually("the streams begin", func() bool { return len(f.control.Log()) == 2 })
+			f.sendAndWait(func() { f.control.Set(fakes.EndpointsResponse("r1", 1, []endpoints.Endpoint{f.endpoint})) })
+			applyVersion := func() { f.sendAndWait(func() { f.control.Set(fakes.DocumentResponse("r1", 1, 0, version)) }) }
+			want := "200 by version 0"
+			if test.file == short {
+				want = "200 by version 1"
+				applyVersion()
+			}
+			answer := make(chan string)
+			go func() { answer <- f.get("/chute/1", "X-Delay", "500ms") }()
+			f.eventually("the request is in flight", func() bool { return f.atEndpoint.Load() == 1 })
+			if test.file == example {
+				applyVersion()
+			}
+			stop()
+			if got := <-answer; got != want {
+				t.Errorf("the request in flight got %q, want %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -197,11 +197,11 @@
 	return r.config.Seed
 }
 
-// drain closes the listener and waits for the requests in flight, at most for the drain timeout of the settings. The
-// watches keep running meanwhile: endpoint and release updates apply as long as requests are in flight.
+// drain closes the listener and waits for the requests in flight, at most for the proxy's drain timeout. The watches keep
+// running meanwhile: endpoint and release updates apply as long as requests are in flight.
 func (r *Router) drain(listener net.Listener) error {
 	proxy.CloseListener(listener)
-	ctx, cancel := context.WithTimeout(context.Background(), seconds(r.config.Clients.DrainTimeoutSeconds))
+	ctx, cancel := context.WithTimeout(context.Background(), seconds(r.proxy.DrainTimeoutSeconds()))
 	defer cancel()
 	return r.proxy.Drain(ctx)
 }
