Proxy: a connection is idle only when its attempt was sent in full

Cause: an attempt counted as written before its first byte, and so its connection was idle with the answer while a goroutine still wrote the body.

Change: how far an attempt has been sent is a state apart from whether it may have run. An answer before the end of the body closes the connection; one that comes while the first write is returning leaves the decision to its writer.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -12,7 +12,7 @@
 // minSentTimeoutSeconds is the smallest remaining time that is sent to an endpoint, since 0 would mean "not set".
 const minSentTimeoutSeconds = 0.001
 
-// attempt is the proxy's state of one attempt of a request. Its fields are guarded by Proxy.mu, except writeState and
+// attempt is the proxy's state of one attempt of a request. Its fields are guarded by Proxy.mu, except the atomic ones and
 // the fields that never change once the attempt is scheduled for writing: request, index, endpointID, startedAt,
 // assignedConn and writeDeadline.
 type attempt struct {
@@ -26,6 +26,7 @@
 	assignedConn  *endpointConn // the same connection, kept after the attempt has ended
 	outcome       policy.Outcome
 	writeState    atomic.Int32
+	sendProgress  atomic.Int32
 }
 
 // The write states of an attempt. The writer changes the state to written, the code that ends the attempt changes it to
@@ -39,6 +40,15 @@
 	dropped
 )
 
+// The progress of sending an attempt's bytes. Its connection may be used again only once both directions have ended: all
+// bytes were sent and the answer was read. An endpoint may answer before it has read the whole attempt.
+const (
+	sending              int32 = iota // the first write has not returned
+	sendingRest                       // it was not enough or failed; another goroutine may be writing the rest
+	sent                              // the kernel has accepted all bytes
+	answeredWhileSending              // the answer was read before the first write returned: its writer frees the connection
+)
+
 // drop prevents an attempt's last byte from being sent. It returns false if the byte is being sent or was sent, or if
 // the attempt was already dropped.
 func (a *attempt) drop() bool {
@@ -140,6 +150,10 @@
 	*pooled = buf
 	socket := attempt.assignedConn.socket.Load()
 	n, err := socket.writeNow(buf)
+	if !p.endFirstWrite(attempt, err == nil && n == len(buf)) {
+		attemptBuffers.Put(pooled)
+		return
+	}
 	switch {
 	case err == nil && n < len(buf):
 		// The endpoint does not read fast enough. If the attempt ends before all bytes are written, its connection is
@@ -159,6 +173,24 @@
 	attemptBuffers.Put(pooled)
 }
 
+// endFirstWrite records whether the first write of an attempt has sent all of its bytes. It returns false if the answer was
+// read before; then it frees the connection, and there is nothing left to write.
+func (p *Proxy) endFirstWrite(attempt *attempt, complete bool) bool {
+	progress := sendingRest
+	if complete {
+		progress = sent
+	}
+	if attempt.sendProgress.CompareAndSwap(sending, progress) {
+		return true
+	}
+	p.mu.Lock()
+	var effects effects
+	p.freeConn(p.Now(), attempt.assignedConn, complete, &effects)
+	p.mu.Unlock()
+	p.runEffects(&effects)
+	return false
+}
+
 // clientLeft reports whether the client of an attempt that is about to be written has closed its connection. The
 // connection's reader notices that too, but after a stall of this process a retry, a held request or a completed dial may
 // come first. A request that has just been received needs no check, since its reader has made it.
@@ -188,6 +220,9 @@
 		more, err = socket.Write(buf[n:])
 		n += more
 	}
+	if err == nil {
+		attempt.sendProgress.Store(sent)
+	}
 	switch {
 	case err != nil && p.protocol.startsAtLastByte():
 		p.failUnwritten(attempt, n, err)
--- a/internal/proxy/endpoint_conn.go
+++ b/internal/proxy/endpoint_conn.go
@@ -151,14 +151,10 @@
 	}
 	var effects effects
 	conn.attempt, attempt.conn = nil, nil
-	// If the endpoint answered before the attempt was fully written, the rest may still be in transit on the
-	// connection.
-	keepConn := reply.reusable && !conn.removed && conn.pool.usable && attempt.writeState.Load() == written
-	if keepConn {
-		conn.idleSince = now
-		conn.pool.idle = append(conn.pool.idle, conn)
-	} else {
-		p.removeConn(conn, &effects)
+	answeredFirst := attempt.sendProgress.CompareAndSwap(sending, answeredWhileSending) // the writer frees the connection
+	keepConn := answeredFirst && reply.reusable
+	if !keepConn {
+		keepConn = p.freeConn(now, conn, reply.reusable && attempt.sendProgress.Load() == sent, &effects)
 	}
 	if reply.outcome == policy.Succeeded {
 		request := attempt.request
--- a/internal/proxy/endpoint_pool.go
+++ b/internal/proxy/endpoint_pool.go
@@ -132,6 +132,18 @@
 	return nil
 }
 
+// freeConn makes a connection idle if it is reusable and its pool is usable, and otherwise removes it. It reports whether the
+// connection is kept. The caller holds p.mu.
+func (p *Proxy) freeConn(now float64, conn *endpointConn, reusable bool, effects *effects) bool {
+	if !reusable || conn.removed || !conn.pool.usable {
+		p.removeConn(conn, effects)
+		return false
+	}
+	conn.idleSince = now
+	conn.pool.idle = append(conn.pool.idle, conn)
+	return true
+}
+
 // mayDial reports whether the limit on all endpoint connections allows one more. It closes an idle one if needed. The
 // caller holds p.mu.
 func (p *Proxy) mayDial(limits *config.Endpoints, effects *effects) bool {
