Configuration versions: a version is its content, not its number

Cause: reports and assignments named a version by its number alone, so that a router was taken to have the mended text, kept the first one as the text of the number, and its answer to the first counted for the second.

Change: both carry the text's hash beside each number (new fields, schema minor 2), and all comparisons are of both. A router puts in force only the text that is named. A rejection ends with the proposal, so that the same text can be sent again.

--- a/internal/configstate/proposal.go
+++ b/internal/configstate/proposal.go
@@ -22,16 +22,22 @@
 	return &Proposal{Version: version, decideBy: now + maxWaitSeconds, accepted: map[string]bool{}}
 }
 
-// OnRouterStatus records what a router reported about versions. inForce is the number of its version in force; applicable
-// and rejected are the numbers of a version that it can apply and of one that it cannot apply, or 0 if there is none;
-// reason is why it cannot apply the latter.
-func (p *Proposal) OnRouterStatus(router string, inForce, applicable, rejected uint64, reason string) {
-	switch p.Version.Number {
-	case inForce, applicable:
+// RouterStatus is what a router reports about versions.
+type RouterStatus struct {
+	InForce    VersionID
+	Applicable VersionID // a proposed version that it can apply; zero: none
+	Rejected   VersionID // a version that it cannot apply; zero: none
+	Reason     string    // why it cannot apply Rejected
+}
+
+// OnRouterStatus records what a router reported about versions.
+func (p *Proposal) OnRouterStatus(router string, status RouterStatus) {
+	switch {
+	case status.InForce.Matches(p.Version) || status.Applicable.Matches(p.Version):
 		p.accepted[router] = true
-	case rejected:
+	case status.Rejected.Matches(p.Version):
 		if p.rejection == "" {
-			p.rejection = fmt.Sprintf("edge %q: %s", router, reason)
+			p.rejection = fmt.Sprintf("edge %q: %s", router, status.Reason)
 		}
 	}
 }
--- a/internal/controller/config_versions.go
+++ b/internal/controller/config_versions.go
@@ -164,24 +164,35 @@
 }
 
 // onReport records a router's answer to the proposal, if there is one. The caller holds the controller's lock.
-func (v *configVersions) onReport(report *linkpb.Digest) {
+func (v *configVersions) onReport(router string, status configstate.RouterStatus) {
 	if v.proposal != nil {
-		v.proposal.OnRouterStatus(report.Edge, report.ConfigNo, report.ConfigFits, report.ConfigRefused, report.ConfigReason)
+		v.proposal.OnRouterStatus(router, status)
 	}
 }
 
-// addConfig adds the numbers of the version in force and of the proposed version to an assignment. A router receives the
+// configStatus returns what a report says about versions.
+func configStatus(report *linkpb.Digest) configstate.RouterStatus {
+	return configstate.RouterStatus{
+		InForce:    configstate.VersionID{Number: report.ConfigNo, Hash: report.ConfigHash},
+		Applicable: configstate.VersionID{Number: report.ConfigFits, Hash: report.ConfigFitsHash},
+		Rejected:   configstate.VersionID{Number: report.ConfigRefused, Hash: report.ConfigRefusedHash},
+		Reason:     report.ConfigReason,
+	}
+}
+
+// addConfig adds the identities of the version in force and of the proposed version to an assignment. A router receives the
 // proposal only after it has applied the version in force. Of the version that the router must handle next, the text is
-// added unless the router has it. The caller holds the controller's lock.
+// added unless the router has it; one that does not tell hashes may have another text under the number. The caller holds
+// the controller's lock.
 func (v *configVersions) addConfig(assignment *linkpb.View, status routerStatus) {
 	current := v.state.Current()
-	assignment.ConfigNo = current.Number
+	assignment.ConfigNo, assignment.ConfigHash = current.Number, current.Hash
 	next := current
-	if v.proposal != nil && status.configInForce == current.Number {
+	if v.proposal != nil && status.config.InForce.Matches(current) {
 		next = v.proposal.Version
-		assignment.ConfigNext = next.Number
+		assignment.ConfigNext, assignment.ConfigNextHash = next.Number, next.Hash
 	}
-	routerHasText := status.configInForce == next.Number || status.configApplicable == next.Number
+	routerHasText := status.config.InForce.Matches(next) || status.config.Applicable == next.ID()
 	if next.Number > 0 && !routerHasText {
 		assignment.ConfigTextNo, assignment.ConfigText = next.Number, next.Text
 	}
@@ -190,7 +201,6 @@
 // routerStatus holds the versions of the configuration and of the health marks at a router, as of its last accepted
 // report.
 type routerStatus struct {
-	configInForce    uint64 // version number
-	configApplicable uint64 // number of the proposed version that the router can apply; 0: none
-	marksVersion     uint64
+	config       configstate.RouterStatus
+	marksVersion uint64
 }
--- a/internal/controller/config_versions_test.go
+++ b/internal/controller/config_versions_test.go
@@ -130,10 +130,12 @@
 	sequence := uint64(0)
 	// report sends a router's report with the numbers of the version in force, of the version that the router can apply
 	// and of the one that it rejects for the given reason, and returns the assignment in reply.
+	hashes := map[uint64]uint64{4: configstate.IDOf(4, []byte(document)).Hash, 5: configstate.IDOf(5, []byte(document+" ")).Hash}
 	report := func(router string, inForce, applicable, rejected uint64, reason string) *linkpb.View {
 		sequence++
-		controller.acceptReport(&linkpb.Digest{Major: lease.SchemaMajor, Relay: "r1", Edge: router, Life: 1, Seq: sequence, ConfigNo: inForce, ConfigFits: applicable,
-			ConfigRefused: rejected, ConfigReason: reason})
+		controller.acceptReport(&linkpb.Digest{Major: lease.SchemaMajor, Relay: "r1", Edge: router, Life: 1, Seq: sequence,
+			ConfigNo: inForce, ConfigHash: hashes[inForce], ConfigFits: applicable, ConfigFitsHash: hashes[applicable],
+			ConfigRefused: rejected, ConfigRefusedHash: hashes[rejected], ConfigReason: reason})
 		return controller.nextAssignment(router, 0)
 	}
 	var proposed *configstate.Version // the last one
@@ -239,3 +241,58 @@
 		t.Errorf("share %g after a restart and the longer window, want 1", got)
 	}
 }
+
+// Guards against a rejected version that is put in force in place of the mended one with the same number: the router was taken to
+// have the mended text, and its answer to the first text for one to the second. A router that tells no hashes gets the
+// text with each assignment.
+func TestMendedVersionUnderTheSameNumber(t *testing.T) {
+	settings, store := versionedSettings(t, 0.5)
+	controller := startVersioned(t, settings, store)
+	defer mustClose(t, controller.configVersions.store)
+	advanceClock(controller, settings.Link.SilenceSeconds) // every live router would have reported by now
+	first := parseVersion(t, 1, documentText(t))
+	first.RequiredListVersion = 99 // does not come
+	mended := parseVersion(t, 1, documentText(t)+" ")
+	sequence := uint64(0)
+	report := func(applicable configstate.VersionID) *linkpb.View {
+		sequence++
+		controller.acceptReport(&linkpb.Digest{Major: lease.SchemaMajor, Relay: "r1", Edge: "a", Life: 1, Seq: sequence,
+			ConfigFits: applicable.Number, ConfigFitsHash: applicable.Hash})
+		return controller.nextAssignment("a", 0)
+	}
+	propose := func(version *configstate.Version) {
+		t.Helper()
+		if outcome, err := controller.configVersions.propose(version); outcome != configstate.Waiting {
+			t.Fatalf("proposed: outcome %v with error %v", outcome, err)
+		}
+	}
+	recheck := func(version *configstate.Version, want configstate.Outcome) {
+		t.Helper()
+		if outcome, err := controller.configVersions.recheck(version); outcome != want {
+			t.Errorf("outcome %v with error %v, want %v", outcome, err, want)
+		}
+	}
+	propose(first)
+	report(configstate.VersionID{})
+	report(first.ID())
+	for range 4 { // the router reports meanwhile
+		stall(controller, settings.Link.SilenceSeconds/2)
+		report(first.ID())
+	}
+	recheck(first, configstate.Rejected)
+	propose(mended)
+	if assignment := report(first.ID()); string(assignment.ConfigText) != string(mended.Text) || assignment.ConfigNextHash != mended.Hash {
+		t.Errorf("%d bytes of text for a router that has the first one, want the mended text of %d", len(assignment.ConfigText), len(mended.Text))
+	}
+	recheck(mended, configstate.Waiting)
+	if assignment := report(configstate.VersionID{Number: 1}); len(assignment.ConfigText) == 0 {
+		t.Error("no text for a router that tells no hash")
+	}
+	if assignment := report(mended.ID()); len(assignment.ConfigText) != 0 {
+		t.Error("the text again for a router that has it")
+	}
+	recheck(mended, configstate.Applied)
+	if assignment := report(first.ID()); assignment.ConfigNo != 1 || assignment.ConfigHash != mended.Hash || string(assignment.ConfigText) != string(mended.Text) {
+		t.Errorf("version %d with hash %x and %d bytes of text in force, want the mended one with its text", assignment.ConfigNo, assignment.ConfigHash, len(assignment.ConfigText))
+	}
+}
--- a/internal/controller/reports.go
+++ b/internal/controller/reports.go
@@ -35,11 +35,10 @@
 	if useSamples {
 		c.balancer.ApplyReport(report.Edge, evidence)
 	}
-	c.routerStatuses[report.Edge] = routerStatus{
-		configInForce: report.ConfigNo, configApplicable: report.ConfigFits, marksVersion: report.MarksNo,
-	}
+	status := configStatus(report)
+	c.routerStatuses[report.Edge] = routerStatus{config: status, marksVersion: report.MarksNo}
 	if c.configVersions != nil {
-		c.configVersions.onReport(report)
+		c.configVersions.onReport(report.Edge, status)
 	}
 	return reason
 }
--- a/internal/controlrpc/controlrpc_test.go
+++ b/internal/controlrpc/controlrpc_test.go
@@ -274,7 +274,7 @@
 		t.Error(err)
 	}
 	err := (&ControllerServer{RouterGroup: "r1"}).Follow(&repeatedReport{report: &linkpb.Digest{Major: lease.SchemaMajor + 1, Edge: "e9", Relay: "r1"}})
-	if err == nil || !strings.Contains(err.Error(), `edge "e9" speaks schema 2.0, this planner 1.1`) {
+	if err == nil || !strings.Contains(err.Error(), `edge "e9" speaks schema 2.0, this planner 1.2`) {
 		t.Error(err)
 	}
 }
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -6,7 +6,7 @@
 // version only adds fields.
 const (
 	SchemaMajor = 1
-	SchemaMinor = 1
+	SchemaMinor = 2
 )
 
 // AssignmentHeader identifies an assignment.
--- a/internal/router/configversions.go
+++ b/internal/router/configversions.go
@@ -125,9 +125,9 @@
 	versions *configVersions
 
 	mu             sync.Mutex
-	lastProposed   *configstate.Version // the last version whose text was received
-	acceptedNumber uint64               // the last proposed version that passed the check
-	rejectedNumber uint64               // the last version that failed to parse, check or apply
+	lastReceived   *configstate.Version  // the last version whose text was received
+	accepted       configstate.VersionID // the last proposed version that passed the check
+	rejected       configstate.VersionID // a version named in the last assignment that failed to parse, check or apply
 	rejectedReason string
 }
 
@@ -135,49 +135,57 @@
 func (c *controllerConfig) fillReport(report *linkpb.Digest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	report.ConfigNo = c.versions.numberInForce()
-	report.ConfigFits, report.ConfigRefused, report.ConfigReason = c.acceptedNumber, c.rejectedNumber, c.rejectedReason
+	inForce := c.versions.router.proxy.ConfigVersion().ID()
+	report.ConfigNo, report.ConfigHash = inForce.Number, inForce.Hash
+	report.ConfigFits, report.ConfigFitsHash = c.accepted.Number, c.accepted.Hash
+	report.ConfigRefused, report.ConfigRefusedHash, report.ConfigReason = c.rejected.Number, c.rejected.Hash, c.rejectedReason
 }
 
 // apply handles an assignment's fields on configuration versions: it checks a proposed version, and puts in force the
-// version that is in force at the controller. A version that cannot be put in force is retried with each assignment.
+// version that is in force at the controller. It does so only with a text that the assignment names by its hash, if the
+// controller tells hashes. A version that cannot be put in force is retried with each assignment, and a rejection is
+// reported for as long as the controller names the version: the same text may be sent again later.
 func (c *controllerConfig) apply(assignment *linkpb.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.rejected, c.rejectedReason = configstate.VersionID{}, ""
 	if c.hasNewText(assignment) {
 		version, err := configstate.ParseVersion(assignment.ConfigTextNo, assignment.ConfigText)
 		if err != nil {
-			c.reject(assignment.ConfigTextNo, err)
+			c.reject(configstate.IDOf(assignment.ConfigTextNo, assignment.ConfigText), err)
 			return
 		}
-		c.lastProposed = version
+		c.lastReceived = version
 	}
-	if c.lastProposed == nil {
+	version := c.lastReceived
+	if version == nil {
 		return
 	}
-	switch number := c.lastProposed.Number; {
-	case number == assignment.ConfigNo && number != c.versions.numberInForce():
-		if _, err := c.versions.offer(c.lastProposed); err != nil {
-			c.reject(number, err)
+	inForce := configstate.VersionID{Number: assignment.ConfigNo, Hash: assignment.ConfigHash}
+	next := configstate.VersionID{Number: assignment.ConfigNext, Hash: assignment.ConfigNextHash}
+	switch {
+	case inForce.Matches(version) && version.ID() != c.versions.router.proxy.ConfigVersion().ID():
+		if _, err := c.versions.offer(version); err != nil {
+			c.reject(version.ID(), err)
 		}
-	case number == assignment.ConfigNext:
-		if _, err := c.versions.router.proxy.CheckConfig(c.lastProposed); err != nil {
-			c.reject(number, err)
+	case next.Matches(version):
+		if _, err := c.versions.router.proxy.CheckConfig(version); err != nil {
+			c.reject(version.ID(), err)
 		} else {
-			c.acceptedNumber = number
+			c.accepted = version.ID()
 		}
 	}
 }
 
-// hasNewText reports whether an assignment contains the text of a version other than lastProposed.
+// hasNewText reports whether an assignment contains the text of a version other than lastReceived.
 func (c *controllerConfig) hasNewText(assignment *linkpb.View) bool {
 	if assignment.ConfigTextNo == 0 {
 		return false
 	}
-	return c.lastProposed == nil || c.lastProposed.Number != assignment.ConfigTextNo ||
-		!bytes.Equal(c.lastProposed.Text, assignment.ConfigText)
+	return c.lastReceived == nil || c.lastReceived.Number != assignment.ConfigTextNo ||
+		!bytes.Equal(c.lastReceived.Text, assignment.ConfigText)
 }
 
-func (c *controllerConfig) reject(number uint64, reason error) {
-	c.rejectedNumber, c.rejectedReason = number, reason.Error()
+func (c *controllerConfig) reject(version configstate.VersionID, reason error) {
+	c.rejected, c.rejectedReason = version, reason.Error()
 }
