Releases: updates are checked by the stages of the version in force

Cause: router and controller counted the file's stages, also for a release that they restored, which came before the version.

Change: the version in force counts, and is restored first. A rollback is valid in any stage: it only takes traffic away.

--- a/internal/controller/config_versions_test.go
+++ b/internal/controller/config_versions_test.go
@@ -11,6 +11,7 @@
 	"flintspread/internal/configstate"
 	"flintspread/internal/controlrpc/linkpb"
 	"flintspread/internal/lease"
+	"flintspread/internal/releases"
 )
 
 // advanceClock advances a controller's clock by seconds, in steps in which it looks for routers that stopped reporting.
@@ -296,3 +297,36 @@
 		t.Errorf("version %d with hash %x and %d bytes of text in force, want the mended one with its text", assignment.ConfigNo, assignment.ConfigHash, len(assignment.ConfigText))
 	}
 }
+
+// Guards against a canary that keeps its traffic: updates of a stage that only the version in force has were rejected, by the
+// number of stages in the settings file, and a release that was saved in such a stage was not restored.
+func TestReleaseStagesOfVersionInForce(t *testing.T) {
+	document := strings.Replace(documentText(t), ":stages         [0.1 0.4 1.0]", ":stages [0.04 0.1 0.25 0.55 1.0]", 1)
+	document = strings.Replace(document, ":caps           [0.15 0.5 1.0]", ":caps [0.068 0.17 0.42 0.94 1.0]", 1)
+	settings, store := versionedSettings(t, 5)
+	controller := startVersioned(t, settings, store)
+	update := &releases.Update{Version: 3, Build: 4, Stage: 3, Phase: "on-trial", CanaryLimit: 0.94}
+	if err := controller.applyReleaseUpdate(update); err == nil {
+		t.Error("stage 3 was accepted with three stages")
+	}
+	advanceClock(controller, settings.Link.SilenceSeconds+1) // no router is alive
+	version := parseVersion(t, 1, document)
+	if outcome, err := controller.configVersions.propose(version); outcome != configstate.Waiting {
+		t.Fatalf("proposed: outcome %v with error %v", outcome, err)
+	}
+	if outcome, err := controller.configVersions.recheck(version); outcome != configstate.Applied {
+		t.Fatalf("outcome %v with error %v", outcome, err)
+	}
+	if err := controller.applyReleaseUpdate(update); err != nil {
+		t.Errorf("stage 3 of five: %v", err)
+	}
+	mustClose(t, controller.configVersions.store)
+	restarted := newController(settings, discardLog(), store)
+	if err := restarted.resume(SavedState{Epoch: 9, Release: update, ReleaseAt: controller.now()}); err != nil {
+		t.Fatal(err)
+	}
+	defer mustClose(t, restarted.configVersions.store)
+	if restarted.release.Stage != 3 {
+		t.Errorf("release %+v after a restart, want stage 3", restarted.release)
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -146,12 +146,14 @@
 		}
 	}
 	c.restore(epoch, saved)
-	c.configVersions, err = c.openConfigVersions()
-	return err
+	if c.configVersions, err = c.openConfigVersions(); err != nil {
+		return err
+	}
+	c.restoreRelease(saved)
+	return nil
 }
 
-// restore makes the controller the leader of the new epoch, and passes the saved endpoint list, release and vote to the
-// policy. A saved release that is invalid, for example because the settings now have fewer stages, is ignored.
+// restore makes the controller the leader of the new epoch, and passes the saved endpoint list to the policy.
 func (c *Controller) restore(epoch uint64, saved SavedState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -165,7 +167,16 @@
 		c.log.Info("endpoint list restored", "endpoints", c.endpointList.Len(), "version", c.endpointList.Version,
 			"age_seconds", now-c.endpointList.ConfirmedAt)
 	}
-	if release := saved.Release; release != nil && release.Check(len(c.settings.Release.StageShares)) == nil {
+}
+
+// restoreRelease passes the saved release and vote to the policy. They are of the configuration version that was in force,
+// which must have been restored before. A saved release that is invalid, for example because the settings now have fewer
+// stages, is ignored.
+func (c *Controller) restoreRelease(saved SavedState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	if release := saved.Release; release != nil && release.Check(c.stageCount()) == nil {
 		c.applyRelease(*release, saved.ReleaseAt)
 	}
 	if vote := saved.Vote; vote != nil {
--- a/internal/controller/feeds.go
+++ b/internal/controller/feeds.go
@@ -81,10 +81,11 @@
 	if update.Heartbeat {
 		return nil
 	}
-	if err := update.Check(len(c.settings.Release.StageShares)); err != nil {
+	c.mu.Lock()
+	if err := update.Check(c.stageCount()); err != nil {
+		c.mu.Unlock()
 		return err
 	}
-	c.mu.Lock()
 	if update.Version < c.release.Version {
 		c.mu.Unlock()
 		c.log.Info("ignored an outdated release update", "version", update.Version)
@@ -105,6 +106,15 @@
 	return nil
 }
 
+// stageCount returns the number of rollout stages of the configuration version in force. The caller holds the controller's
+// lock.
+func (c *Controller) stageCount() int {
+	if c.configVersions == nil {
+		return len(c.settings.Release.StageShares)
+	}
+	return len(c.configVersions.state.Current().Policy.StageShares)
+}
+
 // applyRelease puts a release into force; its AgeSeconds is as of receivedAt. The caller holds the controller's lock.
 func (c *Controller) applyRelease(update releases.Update, receivedAt float64) {
 	c.release, c.releaseReceivedAt = update, receivedAt
--- a/internal/releases/releases_test.go
+++ b/internal/releases/releases_test.go
@@ -28,6 +28,16 @@
 	}
 }
 
+// Guards against a bad build that keeps its traffic: a rollback in a stage that the settings do not have was rejected.
+func TestCheckAcceptsRollbackInAnyStage(t *testing.T) {
+	for phase, want := range map[string]bool{"on-trial": false, "released": false, "going-back": true, "withdrawn": true} {
+		update := Update{Version: 1, Build: 2, Stage: 7, Phase: phase}
+		if err := update.Check(2); (err == nil) != want {
+			t.Errorf("%s in stage 7 of 2: error %v, want it to be accepted: %v", phase, err, want)
+		}
+	}
+}
+
 func TestVoteReplies(t *testing.T) {
 	for _, test := range []struct {
 		text      string
--- a/internal/releases/update.go
+++ b/internal/releases/update.go
@@ -21,12 +21,14 @@
 // PolicyPhase returns the policy's value for the phase of a checked update.
 func (u *Update) PolicyPhase() policy.Phase { return phases[u.Phase] }
 
-// Check returns an error if an update is invalid for a rollout with the given number of stages.
+// Check returns an error if an update is invalid for a rollout with the given number of stages. A rollback is valid in any
+// stage, since it only takes traffic away: the service may know of more stages than the configuration in force.
 func (u *Update) Check(stages int) error {
 	if _, known := phases[u.Phase]; !known {
 		return fmt.Errorf("unknown phase %q", u.Phase)
 	}
-	validStage := u.Stage >= 0 && u.Stage < stages
+	rollback := u.PolicyPhase() == policy.PhaseRollingBack || u.PolicyPhase() == policy.PhaseWithdrawn
+	validStage := u.Stage >= 0 && (u.Stage < stages || rollback)
 	validLimit := u.CanaryLimit >= 0 && u.CanaryLimit <= 1                 // false for NaN
 	if u.Build < 0 || !validStage || !validLimit || !(u.AgeSeconds >= 0) { // the last condition also rejects NaN
 		return fmt.Errorf("build %d, stage %d, cap %v, age %v: want build and age at least 0, stage from 0 to %d, cap from 0 to 1",
--- a/internal/router/releases.go
+++ b/internal/router/releases.go
@@ -31,10 +31,13 @@
 	r.proxy.OnVoteReply(reply)
 }
 
+// stageCount returns the number of rollout stages of the configuration version in force.
+func (r *Router) stageCount() int { return len(r.proxy.ConfigVersion().Policy.StageShares) }
+
 // applyRelease applies a release update. Updates arrive on the stream and in replies to votes, so an update may arrive
 // after a newer one; such an update is dropped.
 func (r *Router) applyRelease(update *releases.Update) error {
-	if err := update.Check(len(r.config.Release.StageShares)); err != nil {
+	if err := update.Check(r.stageCount()); err != nil {
 		return err
 	}
 	r.releaseMu.Lock()
@@ -80,7 +83,7 @@
 // restoreRelease passes the release update that the previous process saved to the proxy. The policy decides by the
 // update's age whether it still applies. If the file cannot be read, the error is logged and the update ignored.
 func (r *Router) restoreRelease() {
-	saved, err := readRelease(r.releaseFile(), len(r.config.Release.StageShares))
+	saved, err := readRelease(r.releaseFile(), r.stageCount())
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -165,10 +165,10 @@
 	settings := r.config
 	r.proxy = proxy.NewHTTP(settings, r.seed(), r.log, nil)
 	r.loadEndpoints()
-	r.restoreRelease()
 	if err := r.openConfigVersions(); err != nil {
 		return err
 	}
+	r.restoreRelease() // its stage is one of the version that has just been restored
 	r.controllerConfig = &controllerConfig{versions: r.configVersions}
 	r.controller = &controlrpc.RouterClient{
 		Config:          settings.Controller,
