Endpoint lists: one guard against outdated full lists, on every stream

Cause: over HTTP any full list was accepted. On the platform older ones were refused for a time that only a full list ended, not a current change.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -51,6 +51,7 @@
 	balancer          *policy.Balancer
 	leader            *lease.Leader
 	endpointList      endpoints.List
+	endpointGuard     endpoints.VersionGuard
 	release           releases.Update // Version is 0 if none was received yet; AgeSeconds is as of releaseReceivedAt
 	releaseReceivedAt float64
 	lastNotified      notifiedVote // last vote that the routers were notified of
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -61,3 +61,23 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a draining endpoint that gets traffic again: a stream of the endpoint list that was opened anew, at a replica
+// that was behind, told an older full list, and that replaced the controller's.
+func TestOutdatedListFromStream(t *testing.T) {
+	settings, store := versionedSettings(t, 5)
+	controller := startVersioned(t, settings, store)
+	defer mustClose(t, controller.configVersions.store)
+	list := func(version uint64, state string) *endpoints.Update {
+		return &endpoints.Update{Version: version, Full: true, Endpoints: []endpoints.Endpoint{{ID: 1, Addr: "127.0.0.1:1", State: state}}}
+	}
+	if err := controller.applyEndpointUpdate(list(5, endpoints.StateDraining)); err != nil {
+		t.Fatal(err)
+	}
+	if err := controller.applyEndpointUpdate(list(4, endpoints.StateReady)); err == nil {
+		t.Error("an older full list was accepted")
+	}
+	if endpoint, _ := controller.endpointList.Get(1); endpoint.State != endpoints.StateDraining {
+		t.Errorf("endpoint 1 is %s, want draining", endpoint.State)
+	}
+}
--- a/internal/controller/feeds.go
+++ b/internal/controller/feeds.go
@@ -29,6 +29,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
+	if err := c.endpointGuard.Check(update, c.endpointList.Version, now); err != nil {
+		return false, err
+	}
 	changes, err := c.endpointList.Apply(update, now)
 	if err != nil {
 		return false, err
--- a/internal/endpoints/list.go
+++ b/internal/endpoints/list.go
@@ -56,7 +56,7 @@
 
 // Apply applies a checked update and returns the resulting changes; only these need to be passed on. A partial update
 // with an older version than the list's is an error, because the stream has gone backwards. A full update with an older
-// version is accepted, because the service may have restarted. The changes are full only if the update is full and the
+// version is accepted: whether it may replace the list is for the caller to decide (VersionGuard). The changes are full only if the update is full and the
 // list's first. If there is an error, the list is unchanged.
 func (l *List) Apply(update *Update, now float64) (changes *Update, err error) {
 	if update.Version < l.Version && !update.Full {
--- a/internal/platform/node/discovery.go
+++ b/internal/platform/node/discovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"flintspread/internal/endpoints"
 	"flintspread/internal/platform/discovery"
 	"flintspread/internal/watch"
 )
@@ -131,17 +132,18 @@
 }
 
 // applyDiscovery applies a validated discovery message to the endpoint list. It skips changes that are older than the
-// list in force, since another follower has already delivered them. An outdated full list is an error.
+// list in force, since another follower has already delivered them. An outdated full list is an error. The registry learns
+// only of messages that are applied.
 func (n *Node) applyDiscovery(message *discovery.Message) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.proxy.Now()
-	inForce := n.endpointList.Version
-	if !message.Full && message.Version < inForce {
-		return nil
-	}
-	if message.Full && !n.versionGuard.Accepts(message.Version, inForce, now, forgetEndpointSeconds) {
-		return fmt.Errorf("endpoint list version %d is older than version %d, which is in force", message.Version, inForce)
+	header := endpoints.Update{Version: message.Version, Full: message.Full}
+	if err := n.versionGuard.Check(&header, n.endpointList.Version, now); err != nil {
+		if !message.Full {
+			return nil
+		}
+		return err
 	}
 	update := n.registry.Update(message, now)
 	if err := update.Check(); err != nil {
--- a/internal/platform/node/discovery_test.go
+++ b/internal/platform/node/discovery_test.go
@@ -64,15 +64,8 @@
 	if err := apply(outdated); err == nil || !strings.Contains(err.Error(), "older") || s.node.endpointCount() != 2 || s.node.registry.EndpointID("c") != 0 {
 		t.Errorf("%v, %d endpoints", err, s.node.endpointCount())
 	}
-	var guard discovery.VersionGuard
-	for _, c := range []struct {
-		version, inForce uint64
-		at               float64
-		want             bool
-	}{{9, 9, 1, true}, {3, 9, 2, false}, {4, 9, 11, false}, {9, 9, 11.5, true}, {1, 9, 12, false}, {2, 9, 21.9, false}, {2, 9, 22, true}} {
-		if got := guard.Accepts(c.version, c.inForce, c.at, 10); got != c.want {
-			t.Errorf("%+v: accepted %v", c, got)
-		}
+	if err := apply(&discovery.Message{Version: 8, Members: []discovery.Member{member("c", "SERVING")}}); err != nil || s.node.registry.EndpointID("c") != 0 {
+		t.Errorf("%v; want older changes to be skipped", err)
 	}
 }
 
--- a/internal/platform/node/node.go
+++ b/internal/platform/node/node.go
@@ -48,7 +48,7 @@
 	mu                      sync.Mutex // guards the fields up to stopping, and serializes changes of the endpoint list
 	registry                discovery.Registry
 	endpointList            endpoints.List
-	versionGuard            discovery.VersionGuard
+	versionGuard            endpoints.VersionGuard
 	discoveryAddress        string
 	currentFollower         int  // number of the follower whose full lists are used; older ones may still deliver changes
 	newestConnectedFollower int  // number of the newest follower that has received data
--- a/internal/router/endpoints.go
+++ b/internal/router/endpoints.go
@@ -18,6 +18,14 @@
 	r.proxy.ApplyEndpoints(update)
 }
 
+// onEndpointMessage handles a message of the endpoint list's stream.
+func (r *Router) onEndpointMessage(update *endpoints.Update) error {
+	if err := r.endpointGuard.Check(update, r.endpointList.Version, r.proxy.Now()); err != nil {
+		return err
+	}
+	return r.applyEndpointUpdate(update)
+}
+
 // applyEndpointUpdate applies an update to the endpoint list and saves the list. Calls must not overlap: a router has
 // one caller, which is the endpoint watch, the control services (under configVersions.mu) or the controller client's
 // goroutine.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,8 +39,9 @@
 	proxy      *proxy.Proxy
 	httpClient *http.Client
 
-	endpointList endpoints.List
-	endpointFile string // where the endpoint list is saved
+	endpointList  endpoints.List
+	endpointGuard endpoints.VersionGuard // for the list's stream; a controller orders its assignments itself
+	endpointFile  string                 // where the endpoint list is saved
 
 	voteSender       *releases.VoteSender     // nil with a controller
 	controller       *controlrpc.RouterClient // nil without a controller
@@ -141,7 +142,7 @@
 	r.loadEndpoints()
 	if settings.Control == nil {
 		r.goroutines.Go(func() {
-			watch.Follow(r.watchCtx, r.watchSource(settings.Sources.EndpointListURL), r.applyEndpointUpdate, func() {})
+			watch.Follow(r.watchCtx, r.watchSource(settings.Sources.EndpointListURL), r.onEndpointMessage, func() {})
 		})
 	} else {
 		if err := r.openConfigVersions(); err != nil {
