Discovery: a response that is slow to begin is waited for longer each time

What callers saw: while the platform's discovery agent took 1.5 s to begin a response, the router learned of no drain and of no new endpoint.

Cause: a response that had not begun within 1 s was given up, for good.

Change: that time doubles with each response that took too long, up to 3 s, and is 1 s again after a quick one.

TestSlowResponseIsAwaited gets no object in 5 s without the growth.

--- a/internal/platform/node/discovery.go
+++ b/internal/platform/node/discovery.go
@@ -13,10 +13,11 @@
 // Limits of a discovery watch. The discovery agent runs on the same machine and sends a heartbeat every 2 s. The
 // platform assumes that the router knows a change 6 s after it was sent, or as soon as an agent that was unavailable is
 // back; the grace period of a drain starts then. Two watches that end because of silence, and a reconnect, fit into
-// these 6 s.
+// these 6 s; so do one watch that ends because of silence and a response that takes as long as it may.
 const (
 	discoverySilenceSeconds    = 2.5 // time without data after which a watch ends
-	discoveryOpenSeconds       = 1.0 // time within which the response must begin
+	discoveryOpenSeconds       = 1.0 // time within which the response must begin, at first
+	discoveryMaxOpenSeconds    = 3.0 // the same for an agent that is slow
 	discoveryBackoffMinSeconds = 0.05
 	discoveryBackoffMaxSeconds = 0.25
 )
@@ -59,6 +60,7 @@
 	return watch.Source{
 		SilenceSeconds:         discoverySilenceSeconds,
 		ResponseTimeoutSeconds: discoveryOpenSeconds,
+		MaxResponseSeconds:     discoveryMaxOpenSeconds,
 		MaxObjectBytes:         n.maxListBytes,
 		BackoffMinSeconds:      discoveryBackoffMinSeconds,
 		BackoffMaxSeconds:      discoveryBackoffMaxSeconds,
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -16,13 +16,20 @@
 // defaultMaxObjectBytes is used if Source.MaxObjectBytes is 0.
 const defaultMaxObjectBytes = 64 << 20
 
-var errStreamEnded = errors.New("the service ended the stream")
+// responseTimeoutGrowth is the factor by which the response timeout grows after a response that took too long.
+const responseTimeoutGrowth = 2
+
+var (
+	errStreamEnded = errors.New("the service ended the stream")
+	errSilent      = errors.New("silent")
+)
 
 // Source describes a stream and when it is considered broken.
 type Source struct {
 	URL                    string
 	SilenceSeconds         float64      // time without a byte after which the stream is considered broken
 	ResponseTimeoutSeconds float64      // time within which the response must begin; 0: SilenceSeconds
+	MaxResponseSeconds     float64      // the response timeout grows up to this while responses take too long; 0: not at all
 	MaxObjectBytes         int64        // maximum size of one object; 0: 64 MiB
 	BackoffMinSeconds      float64      // maximum pause before the first retry
 	BackoffMaxSeconds      float64      // maximum pause before any retry
@@ -39,11 +46,12 @@
 // were handled breaks before ctx has ended. Follow blocks until ctx ends, and calls both functions on the caller's
 // goroutine.
 func Follow[T any](ctx context.Context, source Source, handle func(*T) error, onBreak func()) {
+	timeout := responseTimeout{source.responseTimeoutSeconds(), source.responseTimeoutSeconds(), source.MaxResponseSeconds}
 	for attempt := 0; ctx.Err() == nil; attempt++ {
 		if source.NextURL != nil {
 			source.URL = source.NextURL()
 		}
-		objects, err := followOnce(ctx, source, handle)
+		objects, err := followOnce(ctx, source, &timeout, handle)
 		if ctx.Err() != nil {
 			return
 		}
@@ -61,14 +69,30 @@
 	}
 }
 
+// responseTimeout is the time within which a response must begin. A service that is slow is not absent: the time grows until
+// a response begins in it, and is the shortest again once one begins in that.
+type responseTimeout struct{ seconds, shortest, longest float64 }
+
+// onResponse records after which time a response began, or with which error there was none.
+func (t *responseTimeout) onResponse(seconds float64, err error) {
+	switch {
+	case err == nil && seconds < t.shortest:
+		t.seconds = t.shortest
+	case errors.Is(err, errSilent):
+		t.seconds = max(t.seconds, min(t.longest, t.seconds*responseTimeoutGrowth))
+	}
+}
+
 // followOnce reads one stream to its end, and returns the number of objects handled and the reason of the end.
-func followOnce[T any](ctx context.Context, source Source, handle func(*T) error) (objects int, err error) {
+func followOnce[T any](ctx context.Context, source Source, timeout *responseTimeout, handle func(*T) error) (objects int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := startSilenceTimer(source.responseTimeoutSeconds(), cancel)
+	silence := startSilenceTimer(timeout.seconds, cancel)
 	defer silence.stop()
 
+	requestedAt := time.Now()
 	response, err := openStream(ctx, source)
+	timeout.onResponse(time.Since(requestedAt).Seconds(), err)
 	if err != nil {
 		return 0, err
 	}
@@ -144,7 +168,7 @@
 
 func startSilenceTimer(allowedSeconds float64, cancel context.CancelCauseFunc) *silenceTimer {
 	s := &silenceTimer{allowedSeconds: allowedSeconds}
-	s.timer = time.AfterFunc(duration(allowedSeconds), func() { cancel(fmt.Errorf("silent for %g s", s.allowedSeconds)) })
+	s.timer = time.AfterFunc(duration(allowedSeconds), func() { cancel(fmt.Errorf("%w for %g s", errSilent, s.allowedSeconds)) })
 	return s
 }
 
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -212,3 +212,49 @@
 		t.Errorf("handled objects %s, want \"1 1 9\" at the end; want %q in the log\n%s", got, limitError, log)
 	}
 }
+
+// Guards against a watch that never begins: a service that took longer to respond than the timeout was given up each time, for
+// good. The timeout grows until a response begins in it.
+func TestSlowResponseIsAwaited(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		select {
+		case <-req.Context().Done(): // the watch gave it up
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+		write(t, w, "{\"n\":1}\n")
+		flush(t, w)
+		<-req.Context().Done()
+	}))
+	defer server.Close()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	source := Source{URL: server.URL, SilenceSeconds: 5, ResponseTimeoutSeconds: 0.05, MaxResponseSeconds: 2, BackoffMinSeconds: 0.01, BackoffMaxSeconds: 0.01,
+		Client: client, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	objects := 0
+	Follow(ctx, source, func(*object) error { objects++; cancel(); return nil }, func() {})
+	if objects == 0 {
+		t.Error("no object within 5 s of a service that takes 0.3 s to respond")
+	}
+}
+
+// The response timeout grows up to its bound with responses that take too long, and only with these; a quick response ends that.
+func TestResponseTimeout(t *testing.T) {
+	silent, refused := fmt.Errorf("%w for 1 s", errSilent), errors.New("connection refused")
+	timeout := responseTimeout{1, 1, 3}
+	for i, step := range []struct {
+		seconds float64
+		err     error
+		want    float64
+	}{{1, silent, 2}, {0, refused, 2}, {2, silent, 3}, {3, silent, 3}, {1.5, nil, 3}, {0.2, nil, 1}, {0.9, refused, 1}} {
+		if timeout.onResponse(step.seconds, step.err); timeout.seconds != step.want {
+			t.Errorf("step %d: %g s, want %g s", i, timeout.seconds, step.want)
+		}
+	}
+	fixed := responseTimeout{1, 1, 0}
+	if fixed.onResponse(1, silent); fixed.seconds != 1 {
+		t.Errorf("%g s, want 1 s without growth", fixed.seconds)
+	}
+}
