Leases: a router orders its controller's endpoint lists by version, not by age

What callers saw: in a group with a controller a draining endpoint got requests for seconds, when the list service stated an age with the change that it had not stated with the line before (lag).

Cause: lists were ordered by the time at which they were last known to be current, which went back.

Change: a later version is newer whatever its age; an earlier one only if it was current later.

--- a/internal/controlrpc/router_client.go
+++ b/internal/controlrpc/router_client.go
@@ -72,12 +72,12 @@
 }
 
 // Run maintains a stream to the controller until ctx ends, and then returns nil. An error means that the settings are
-// invalid or that certificates cannot be loaded. endpointsAt is the instant that the endpoint list restored from disk is
-// as of.
-func (r *RouterClient) Run(ctx context.Context, endpointsAt float64) error {
+// invalid or that certificates cannot be loaded. endpointsVersion and endpointsAt are the version of the endpoint list that was
+// restored from disk, and the instant that it is as of.
+func (r *RouterClient) Run(ctx context.Context, endpointsVersion uint64, endpointsAt float64) error {
 	r.mu.Lock()
 	r.follower, r.startedAt = lease.NewFollower(r.Incarnation), r.Now()
-	r.follower.RestoreEndpointsAt(endpointsAt)
+	r.follower.RestoreEndpoints(endpointsVersion, endpointsAt)
 	r.mu.Unlock()
 	transport, err := Credentials(r.Config, r.Log)
 	if err != nil {
@@ -227,7 +227,7 @@
 // acceptAssignment passes an assignment to ApplyAssignment if the follower accepts it.
 func (r *RouterClient) acceptAssignment(assignment *linkpb.View) {
 	header := assignmentHeader(assignment)
-	content := lease.ContentVersions{EndpointsAt: assignment.ListAt, ReleaseVersion: assignment.StageNo}
+	content := lease.ContentVersions{EndpointsAt: assignment.ListAt, EndpointsVersion: assignment.ListNo, ReleaseVersion: assignment.StageNo}
 	r.mu.Lock()
 	previousEpoch, _ := r.follower.Following()
 	reason, endpoints, release := r.follower.AcceptAssignment(header, content)
--- a/internal/lease/follower.go
+++ b/internal/lease/follower.go
@@ -44,10 +44,10 @@
 	}
 	f.leaderEpoch, f.assignmentSeq = header.Epoch, header.Sequence
 	f.acknowledgedSentAt = f.sentAt(header.AcknowledgedReport)
-	applyEndpoints = content.EndpointsAt > f.content.EndpointsAt
+	applyEndpoints = f.isNewerList(content)
 	applyRelease = content.ReleaseVersion > 0 && content.ReleaseVersion >= f.content.ReleaseVersion
 	if applyEndpoints {
-		f.content.EndpointsAt = content.EndpointsAt
+		f.content.EndpointsAt, f.content.EndpointsVersion = content.EndpointsAt, content.EndpointsVersion
 	}
 	if applyRelease {
 		f.content.ReleaseVersion = content.ReleaseVersion
@@ -55,6 +55,13 @@
 	return Accepted, applyEndpoints, applyRelease
 }
 
+// isNewerList reports whether the endpoint list of an accepted assignment is newer than the router's or confirms it again. A
+// later version is newer whatever age its service stated. An earlier one is so only if it was current later, as of a
+// service that has begun its numbers anew.
+func (f *Follower) isNewerList(content ContentVersions) bool {
+	return content.EndpointsVersion > f.content.EndpointsVersion || content.EndpointsAt > f.content.EndpointsAt
+}
+
 // checkAssignment returns Accepted, or the reason why an assignment is rejected.
 func (f *Follower) checkAssignment(header AssignmentHeader) Reason {
 	switch {
@@ -81,10 +88,10 @@
 	return unknownSentAt
 }
 
-// RestoreEndpointsAt records that the router has loaded an endpoint list from its own disk. listAt is when the list was
-// last known to be current, in seconds since the Unix epoch.
-func (f *Follower) RestoreEndpointsAt(listAt float64) {
-	f.content.EndpointsAt = max(f.content.EndpointsAt, listAt)
+// RestoreEndpoints records that the router has loaded a version of the endpoint list from its own disk. listAt is when the
+// list was last known to be current, in seconds since the Unix epoch.
+func (f *Follower) RestoreEndpoints(version uint64, listAt float64) {
+	f.content.EndpointsVersion, f.content.EndpointsAt = version, listAt
 }
 
 // LeaseEndsAt returns when the lease of the last accepted assignment ends, or 0 if it has none. The lease starts when the
--- a/internal/lease/message.go
+++ b/internal/lease/message.go
@@ -25,8 +25,9 @@
 
 // ContentVersions identifies how recent the two parts of an assignment's content are.
 type ContentVersions struct {
-	EndpointsAt    float64 // when the endpoint list was last known to be current, in seconds since the Unix epoch
-	ReleaseVersion uint64  // the release service's version of the release; 0: none known yet
+	EndpointsAt      float64 // when the endpoint list was last known to be current, in seconds since the Unix epoch
+	EndpointsVersion uint64  // the list service's version of the endpoint list
+	ReleaseVersion   uint64  // the release service's version of the release; 0: none known yet
 }
 
 // Reason is the result of checking a message: Accepted, or why the message is rejected. Its String is a metric label.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -183,7 +183,7 @@
 		ApplyAssignment: r.applyAssignment,
 	}
 	r.goroutines.Go(func() {
-		if err := r.controller.Run(r.watchCtx, r.endpointList.ConfirmedAt); err != nil {
+		if err := r.controller.Run(r.watchCtx, r.endpointList.Version, r.endpointList.ConfirmedAt); err != nil {
 			r.fatalErrors <- err
 		}
 	})
