HTTP: a wrong answer counts once, however often its receipt is reported

Cause: a report was counted whenever it came.

Change: policy.WrongAnswerReports remembers the receipts that were reported. What it shares with the ids of abandoned requests is policy.recentIDs now, with the same bounds as before.

TestWrongAnswerCountsOnce counts 4 for 1 without the check; TestWrongAnswerReports and TestAbandonedRequests passed.

--- a/internal/policy/abandoned_test.go
+++ b/internal/policy/abandoned_test.go
@@ -37,7 +37,7 @@
 	for i := range 3 * maxAbandonedIDs {
 		abandoned.Add(1, fmt.Sprint(i), &Request{Config: config, Attempts: []Attempt{mayHaveRun}})
 	}
-	if len(abandoned.ids) != maxAbandonedIDs || !abandoned.MayHaveRun(1, fmt.Sprint(3*maxAbandonedIDs-1)) || abandoned.MayHaveRun(1, "0") {
-		t.Errorf("%d ids are remembered, want the newest %d", len(abandoned.ids), maxAbandonedIDs)
+	if len(abandoned.recent.ids) != maxAbandonedIDs || !abandoned.MayHaveRun(1, fmt.Sprint(3*maxAbandonedIDs-1)) || abandoned.MayHaveRun(1, "0") {
+		t.Errorf("%d ids are remembered, want the newest %d", len(abandoned.recent.ids), maxAbandonedIDs)
 	}
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -51,13 +51,14 @@
 	configState       *configstate.State
 	stats             Stats
 
-	lastRequestID     uint32
-	inFlight          int                      // accepted requests without a final answer
-	inFlightByClass   []int                    // inFlight by Request.Class
-	requestIDs        map[string]struct{}      // ids of requests in flight, if the protocol has ids
-	abandonedRequests policy.AbandonedRequests // by id, if the protocol has ids
-	deadlines         deadlineQueue
-	answerDeadline    float64 // latest instant for any answer; 0: none
+	lastRequestID      uint32
+	inFlight           int                       // accepted requests without a final answer
+	inFlightByClass    []int                     // inFlight by Request.Class
+	requestIDs         map[string]struct{}       // ids of requests in flight, if the protocol has ids
+	abandonedRequests  policy.AbandonedRequests  // by id, if the protocol has ids
+	wrongAnswerReports policy.WrongAnswerReports // by receipt, if the protocol has receipts
+	deadlines          deadlineQueue
+	answerDeadline     float64 // latest instant for any answer; 0: none
 
 	nextTimerAt  float64 // when the timer fires next, if it is not woken before
 	policyTickAt float64
