Rejections: the pause of a keyed request ends within the window of its key

What callers saw: a deduplicated request that may have run was rejected with a pause that ended after endpoints had forgotten its key, and ran again when the client came back as told (pause of review/cases).

Cause: the pause was the settings' longest, whatever was left of the window; and a retry that was rejected, too, counted the window from its own attempts.

Change: the pause is half of what is left, and nothing left is a failure. Keys of rejected requests are remembered until their window ends, and later requests with them count it from the first run.

--- a/internal/policy/admission.go
+++ b/internal/policy/admission.go
@@ -34,6 +34,9 @@
 	} else {
 		r.Work = 1
 	}
+	if r.IdempotencyKey != 0 {
+		r.recognisedBefore = b.rejectedKeys.until(now, r.IdempotencyKey)
+	}
 	r.FirstTriedAt = b.estimateFirstTry(now, r)
 	// Marks immediate retries by the client, so that the analysis counts one failure, not many.
 	r.ClientRetry = r.ClientRetry || now-b.lastFailedAt[r.Class] <= clientRetryWindowSeconds
--- a/internal/policy/balancer.go
+++ b/internal/policy/balancer.go
@@ -39,6 +39,7 @@
 	longestCanaryWindow   float64     // longest canary window of all configurations so far, in seconds
 	canaryCountsSince     float64     // receivedAt and canaryAttemptsAt lack what was before; 0 if they lack nothing
 	buildByKey            map[uint64]int
+	rejectedKeys          rejectedKeys
 	keyFloorBuild         int     // every key counts as answered by this build or a later one
 	leasedShare           float64 // share of all routers' allowances that the controller assigned; 1 without a controller
 	leaseEndsAt           float64
--- a/internal/policy/request.go
+++ b/internal/policy/request.go
@@ -9,7 +9,8 @@
 	ID                     uint32
 	Class                  int     // index into Config.Classes
 	Config                 *Config // configuration when it was received; set by the first Pick if nil
-	Key                    uint64  // deduplication or one-way key; 0: none
+	Key                    uint64  // one-way key; 0: none
+	IdempotencyKey         uint64  // by which endpoints recognise repeats; 0: none or unknown
 	ReceivedAt             float64
 	FirstTriedAt           float64 // estimated time of the client's first try
 	Deadline               float64 // when its client stops waiting
@@ -19,6 +20,8 @@
 	Completed              bool    // it has its final answer, or the client has gone
 	LastAttemptUndelivered bool    // the last attempt to end was NotConnected or NotSent: a retry costs no token
 	Attempts               []Attempt
+
+	recognisedBefore float64 // until when an earlier request's repeats are recognised; 0: no earlier one with the key is known
 }
 
 // Attempt is one attempt to send a request to an endpoint. It keeps what later decisions need to know of the endpoint:
@@ -94,7 +97,7 @@
 	NoAction Action = iota
 	Send            // carry out the new attempt, at Decision.Endpoint
 	Hold            // call Pick again at Decision.PickAgainAt
-	Reject          // final answer: a retry is harmless, after Decision.RetryAfterSeconds
+	Reject          // final answer: a retry is harmless, from Decision.RetryAfterSeconds until RetryBySeconds
 	Fail            // final answer: the request may have run
 )
 
@@ -104,8 +107,9 @@
 	Endpoint          uint32  // with Send; the attempt is the last of the request's Attempts
 	AttemptDeadline   float64 // when the attempt must be abandoned
 	PickAgainAt       float64 // when to call Pick again; no call is due if 0 or not before the request's deadline
-	RetryAfterSeconds float64
-	CancelInFlight    bool // cancel the attempts in flight
+	RetryAfterSeconds float64 // with Reject: how long the client should wait before it retries
+	RetryBySeconds    float64 // with Reject: for how long a retry is harmless; 0: for good
+	CancelInFlight    bool    // cancel the attempts in flight
 }
 
 // attemptsInFlight returns the number of attempts that have no outcome yet.
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -42,9 +42,13 @@
 
 // retryIsSafe reports whether a further attempt can't cause a second effect (rule 2 of package invariants). A request
 // may be sent again if no attempt can have run, if it is idempotent, or if it has a key and, for every attempt, the
-// window in which endpoints recognise the key is still open. leavesDedupScope then restricts the endpoints.
+// window in which endpoints recognise the key is still open. leavesDedupScope then restricts the endpoints. For a request
+// that was rejected before, the first attempt is such a further one.
 func (b *Balancer) retryIsSafe(now float64, r *Request) bool {
 	class := r.class()
+	if r.recognisedBefore > 0 && now+2*r.Config.TimerResolutionSeconds >= r.recognisedBefore {
+		return false
+	}
 	for _, attempt := range r.Attempts {
 		neverRan := !attempt.MayHaveRun && !attempt.InFlight
 		if neverRan || class.Idempotency == Idempotent {
@@ -94,17 +98,49 @@
 	return b.retryTokens >= 1 || r.LastAttemptUndelivered
 }
 
-// finalAnswer returns a request's final answer: a rejection if a retry by the client is harmless, otherwise a failure.
+// clientRetryShare is the part of the time for which a client's retry is harmless that the client is told to wait. The rest is
+// left for the retry itself.
+const clientRetryShare = 0.5
+
+// finalAnswer returns a request's final answer: a rejection if a retry by the client is harmless, otherwise a failure. Where
+// endpoints recognise the request's key only for a time, the client is told to retry within that.
 // While an attempt is in flight, finalAnswer returns no action, as that attempt may still succeed.
 func (b *Balancer) finalAnswer(now float64, r *Request) Decision {
 	if r.attemptsInFlight() > 0 {
 		return Decision{}
 	}
 	b.lastFailedAt[r.Class] = now
-	if r.effectUncertain() {
+	harmlessSeconds := r.recognisedUntil() - now
+	if r.effectUncertain() || harmlessSeconds <= attemptMarginResolutions*r.Config.TimerResolutionSeconds {
 		return Decision{Action: Fail}
 	}
-	return Decision{Action: Reject, RetryAfterSeconds: r.Config.MaxRetryAfterSeconds}
+	decision := Decision{Action: Reject, RetryAfterSeconds: min(r.Config.MaxRetryAfterSeconds, clientRetryShare*harmlessSeconds)}
+	if !math.IsInf(harmlessSeconds, 1) {
+		decision.RetryBySeconds = harmlessSeconds
+		if r.IdempotencyKey != 0 {
+			b.rejectedKeys.add(now, r.IdempotencyKey, now+harmlessSeconds)
+		}
+	}
+	return decision
+}
+
+// recognisedUntil returns the end of the time in which endpoints recognise the key of every attempt that may have run, of this
+// request or an earlier one that was rejected; infinity if none may have run, or if the request may run again without a key.
+func (r *Request) recognisedUntil() float64 {
+	until := math.Inf(1)
+	class := r.class()
+	if class.Idempotency != IdempotentWithKey {
+		return until
+	}
+	if r.recognisedBefore > 0 {
+		until = r.recognisedBefore
+	}
+	for _, attempt := range r.Attempts {
+		if attempt.MayHaveRun || attempt.InFlight {
+			until = min(until, attempt.StartedAt+class.DedupWindowSeconds)
+		}
+	}
+	return until
 }
 
 // effectUncertain reports whether a retry by the client could have a second effect: an attempt may have run or may yet
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -73,14 +73,15 @@
 	p.lastRequestID++
 	return &request{
 		Request: policy.Request{
-			ID:          p.lastRequestID,
-			Class:       class,
-			Config:      config.Policy,
-			Key:         message.keyHash,
-			ReceivedAt:  now,
-			Deadline:    deadline,
-			Work:        message.workSeconds,
-			ClientRetry: message.clientRetry,
+			ID:             p.lastRequestID,
+			Class:          class,
+			Config:         config.Policy,
+			Key:            message.keyHash,
+			IdempotencyKey: message.idempotencyHash,
+			ReceivedAt:     now,
+			Deadline:       deadline,
+			Work:           message.workSeconds,
+			ClientRetry:    message.clientRetry,
 		},
 		conn:      conn,
 		message:   message,
@@ -120,7 +121,7 @@
 func (p *Proxy) shedAnswerFor(config *configstate.Version) answer {
 	if p.shedAnswer.bytes == nil || p.shedAnswerConfig != config {
 		p.shedAnswerConfig = config
-		p.shedAnswer = p.protocol.rejectedAnswer(config, config.Policy.MaxRetryAfterSeconds)
+		p.shedAnswer = p.protocol.rejectedAnswer(config, config.Policy.MaxRetryAfterSeconds, 0)
 	}
 	return p.shedAnswer
 }
--- a/internal/proxy/http.go
+++ b/internal/proxy/http.go
@@ -30,8 +30,8 @@
 	proto.writeAnswer(request.conn, answer)
 }
 
-func (http1) rejectedAnswer(config *configstate.Version, retryAfterSeconds float64) answer {
-	return newHTTPAnswer(http.StatusServiceUnavailable, kindRejected, textRejected, retryAfterSeconds).withConfigVersion(config)
+func (http1) rejectedAnswer(config *configstate.Version, retryAfterSeconds, retryBySeconds float64) answer {
+	return newHTTPRejection(textRejected, retryAfterSeconds, retryBySeconds).withConfigVersion(config)
 }
 
 func (http1) failedAnswer(config *configstate.Version, timedOut bool) answer {
@@ -39,11 +39,11 @@
 	if timedOut {
 		status = http.StatusGatewayTimeout
 	}
-	return newHTTPAnswer(status, kindFailed, textFailed, 0).withConfigVersion(config)
+	return newHTTPAnswer(status, kindFailed, textFailed).withConfigVersion(config)
 }
 
 func (http1) tooManyConnections(retryAfterSeconds float64) []byte {
-	return newHTTPAnswer(http.StatusServiceUnavailable, kindRejected, "too many connections", retryAfterSeconds).withConnectionClose().bytes
+	return newHTTPRejection("too many connections", retryAfterSeconds, 0).withConnectionClose().bytes
 }
 
 func (http1) connReuseDelaySeconds() float64 { return 0 }
--- a/internal/proxy/http_conn.go
+++ b/internal/proxy/http_conn.go
@@ -133,19 +133,19 @@
 // answer. A negative class means that no route matches.
 func checkClass(config *configstate.Version, class int, message *message) answer {
 	if class < 0 {
-		return newHTTPAnswer(http.StatusNotFound, "", "no route for "+message.method+" "+message.path, 0)
+		return newHTTPAnswer(http.StatusNotFound, "", "no route for "+message.method+" "+message.path)
 	}
-	if config.Policy.Classes[class].Idempotency == policy.IdempotentWithKey && !message.hasIdempotencyKey {
-		return newHTTPAnswer(http.StatusBadRequest, "", "an op type with deduplicated commands needs "+headerIdempotencyKey, 0)
+	if config.Policy.Classes[class].Idempotency == policy.IdempotentWithKey && message.idempotencyHash == 0 {
+		return newHTTPAnswer(http.StatusBadRequest, "", "an op type with deduplicated commands needs "+headerIdempotencyKey)
 	}
 	return answer{}
 }
 
 func wrongAnswerReply(err error) answer {
 	if err != nil {
-		return newHTTPAnswer(http.StatusBadRequest, "", err.Error(), 0)
+		return newHTTPAnswer(http.StatusBadRequest, "", err.Error())
 	}
-	return newHTTPAnswer(http.StatusOK, "", "noted", 0)
+	return newHTTPAnswer(http.StatusOK, "", "noted")
 }
 
 // rejectUnreadable answers a message that is invalid or incomplete, and lingers so that the client sees the answer. If
@@ -170,7 +170,7 @@
 	p.mu.Lock()
 	p.stats.InvalidRequests++
 	p.mu.Unlock()
-	p.writeBestEffort(conn, newHTTPAnswer(invalid.status, "", invalid.reason, 0).withConnectionClose().bytes)
+	p.writeBestEffort(conn, newHTTPAnswer(invalid.status, "", invalid.reason).withConnectionClose().bytes)
 	conn.linger()
 }
 
--- a/internal/proxy/http_message.go
+++ b/internal/proxy/http_message.go
@@ -161,7 +161,9 @@
 	if key := headers.Get(headerKey); key != "" {
 		m.keyHash = max(1, xxhash.Sum64String(key)) // 0 means no key
 	}
-	m.hasIdempotencyKey = headers.Get(headerIdempotencyKey) != ""
+	if key := headers.Get(headerIdempotencyKey); key != "" {
+		m.idempotencyHash = max(1, xxhash.Sum64String(key))
+	}
 	m.clientRetry = headers.Get(headerRepeat) != ""
 	m.receipt = headers.Get(headerReceipt)
 	return nil
@@ -300,19 +302,32 @@
 	return buf.Bytes(), nil
 }
 
-// newHTTPAnswer creates an answer that the proxy itself generates. kind is empty if the message was not accepted as a
-// request. retryAfterSeconds is used for rejections only.
-func newHTTPAnswer(status int, kind, text string, retryAfterSeconds float64) answer {
+// newHTTPAnswer creates an answer that the proxy itself generates, other than a rejection. kind is empty if the message was not
+// accepted as a request.
+func newHTTPAnswer(status int, kind, text string) answer {
+	return encodeOwnAnswer(status, kind, text, "")
+}
+
+// newHTTPRejection creates the answer to a request that the client may retry after retryAfterSeconds and, unless it is 0,
+// before retryBySeconds are over. The whole seconds of Retry-After are rounded up where that is early enough.
+func newHTTPRejection(text string, retryAfterSeconds, retryBySeconds float64) answer {
+	wholeSeconds := math.Ceil(retryAfterSeconds)
+	if retryBySeconds > 0 && wholeSeconds >= retryBySeconds {
+		wholeSeconds = math.Floor(retryAfterSeconds)
+	}
+	headerLines := fmt.Sprintf("Retry-After: %d\r\n"+headerPause+": %.3f\r\n", int(wholeSeconds), retryAfterSeconds)
+	return encodeOwnAnswer(http.StatusServiceUnavailable, kindRejected, text, headerLines)
+}
+
+// encodeOwnAnswer encodes an answer that the proxy itself generates; headerLines are added to its head.
+func encodeOwnAnswer(status int, kind, text, headerLines string) answer {
 	var buf bytes.Buffer
 	fmt.Fprintf(&buf, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n",
 		status, http.StatusText(status), len(text)+1)
 	if kind != "" {
 		fmt.Fprintf(&buf, headerAnswer+": %s\r\n", kind)
 	}
-	if kind == kindRejected {
-		fmt.Fprintf(&buf, "Retry-After: %d\r\n"+headerPause+": %.3f\r\n", int(math.Ceil(retryAfterSeconds)), retryAfterSeconds)
-	}
-	buf.WriteString("\r\n" + text + "\n")
+	buf.WriteString(headerLines + "\r\n" + text + "\n")
 	return answer{bytes: buf.Bytes(), kind: kind}
 }
 
--- a/internal/proxy/protocol.go
+++ b/internal/proxy/protocol.go
@@ -21,9 +21,9 @@
 	// deliverAnswer writes a request's final answer to its client without blocking. The caller must not hold Proxy.mu.
 	deliverAnswer(request *request, answer answer)
 
-	// rejectedAnswer returns the final answer to a request that the client may safely retry, after
-	// retryAfterSeconds.
-	rejectedAnswer(config *configstate.Version, retryAfterSeconds float64) answer
+	// rejectedAnswer returns the final answer to a request that the client may safely retry, after retryAfterSeconds and,
+	// unless it is 0, before retryBySeconds are over.
+	rejectedAnswer(config *configstate.Version, retryAfterSeconds, retryBySeconds float64) answer
 
 	// failedAnswer returns the final answer to a request that may have run. timedOut reports whether its last attempt
 	// timed out.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -27,14 +27,14 @@
 	head         []byte // sent to endpoints, followed by the remaining time and the body
 	body         []byte
 
-	id                string  // empty if the protocol has no request ids
-	keyHash           uint64  // hash of the request's key; 0: none given
-	timeoutSeconds    float64 // the client's timeout, from arrival; 0: none given
-	workSeconds       float64 // expected work; 0: none given
-	hasIdempotencyKey bool
-	clientRetry       bool   // the client marked the message as a retry
-	closeAfter        bool   // the client wants the connection closed after the answer
-	receipt           string // HTTP/1.1: the receipt of an answer that the client reports as wrong
+	id              string  // empty if the protocol has no request ids
+	keyHash         uint64  // hash of the request's key; 0: none given
+	idempotencyHash uint64  // hash of its idempotency key; 0: none given
+	timeoutSeconds  float64 // the client's timeout, from arrival; 0: none given
+	workSeconds     float64 // expected work; 0: none given
+	clientRetry     bool    // the client marked the message as a retry
+	closeAfter      bool    // the client wants the connection closed after the answer
+	receipt         string  // HTTP/1.1: the receipt of an answer that the client reports as wrong
 
 	options       []byte // RESP2: the option list without the value of d, the timeout
 	timeoutOffset int    // RESP2: where encodeAttempt inserts the remaining time into options
@@ -81,7 +81,7 @@
 		}
 	case policy.Reject:
 		p.stats.Rejected++
-		p.finishRequest(request, p.protocol.rejectedAnswer(request.config, decision.RetryAfterSeconds), effects)
+		p.finishRequest(request, p.protocol.rejectedAnswer(request.config, decision.RetryAfterSeconds, decision.RetryBySeconds), effects)
 	case policy.Fail:
 		p.stats.Failed++
 		p.finishRequest(request, p.protocol.failedAnswer(request.config, request.lastAttemptTimedOut()), effects)
--- a/internal/proxy/resp.go
+++ b/internal/proxy/resp.go
@@ -16,7 +16,7 @@
 // connection's requests.
 type resp2 struct{}
 
-func (resp2) rejectedAnswer(_ *configstate.Version, retryAfterSeconds float64) answer {
+func (resp2) rejectedAnswer(_ *configstate.Version, retryAfterSeconds, _ float64) answer {
 	if retryAfterSeconds <= 0 {
 		return answer{bytes: []byte("-BUSY\r\n"), kind: kindRejected}
 	}
--- a/internal/proxy/resp_command.go
+++ b/internal/proxy/resp_command.go
@@ -81,7 +81,7 @@
 			m.timeoutSeconds, m.timeoutOffset = float64(millis)/1000, offset+len("d=")
 			m.options = append(append(m.options, options[:m.timeoutOffset]...), options[offset+len(pair):]...)
 		case "k":
-			m.hasIdempotencyKey = true
+			m.idempotencyHash = max(1, xxhash.Sum64(value))
 		case "r":
 			m.clientRetry = string(value) == "1"
 		default:
@@ -103,7 +103,7 @@
 		return errors.New("no d")
 	case write != (idempotency != policy.Idempotent):
 		return fmt.Errorf("%s is not for this class", command)
-	case m.hasIdempotencyKey != (idempotency == policy.IdempotentWithKey):
+	case (m.idempotencyHash != 0) != (idempotency == policy.IdempotentWithKey):
 		return errors.New("k belongs to classes with a key, and to no others")
 	}
 	return nil
